--- /dev/null
+++ b/bench/src/cactusloft_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load generator and measurements."""
--- /dev/null
+++ b/cli/src/cactusloft/__init__.py
@@ -0,0 +1,1 @@
+"""The cactusloft command-line tool."""
--- /dev/null
+++ b/cli/src/cactusloft/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the cactusloft command-line tool."""
--- /dev/null
+++ b/cli/src/cactusloft/ui/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/daemon/src/cactusloftd/__init__.py
@@ -0,0 +1,1 @@
+"""The cactusloft daemon."""
--- /dev/null
+++ b/libs/admission/src/cactusloft_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control: limits, queue, fairness and shedding."""
--- /dev/null
+++ b/libs/consensus/src/cactusloft_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log with snapshots and replica membership."""
--- /dev/null
+++ b/libs/ledger/src/cactusloft_ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency reservations and kept answers."""
--- /dev/null
+++ b/libs/link/src/cactusloft_link/__init__.py
@@ -0,0 +1,1 @@
+"""Encrypted peer links over ZeroMQ."""
--- /dev/null
+++ b/libs/membership/src/cactusloft_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements, leases, subsets and choice of backend server."""
--- /dev/null
+++ b/libs/model/src/cactusloft_model/_calls.py
@@ -0,0 +1,91 @@
+"""Call context: identity, account, priority and deadline of a call.
+
+The entry daemon of a root call creates the context. Nested calls derive
+theirs from the parent's, so that account, priority and deadline are inherited
+and cannot be raised by a backend server.
+"""
+
+import enum
+import hashlib
+
+import attrs
+
+CALL_ID_BYTES = 16
+
+
+class Priority(enum.IntEnum):
+    """Priority class of a route; a higher value is shed later."""
+
+    LOW = 0
+    NORMAL = 1
+    HIGH = 2
+    CRITICAL = 3
+
+
+Fingerprint = str
+
+
+@attrs.frozen
+class CallContext:
+    """What every hop knows about a call.
+
+    :ivar call_id: 128-bit hexadecimal identity of this call.
+    :ivar root_call_id: identity of the caller's request.
+    :ivar parent_call_id: identity of the calling call, empty for the root.
+    :ivar root_entry: name of the daemon that holds the retry allowance.
+    :ivar client_account: account of the caller, empty on open routes.
+    :ivar service: name of the service that shall run the call.
+    :ivar priority: class inherited from the root call.
+    :ivar deadline: monotonic seconds on the clock of the holding daemon.
+    :ivar depth: 0 for the root call.
+    :ivar idempotent: whether the call may be sent again.
+    :ivar fingerprint: digest of account, route and content.
+    """
+
+    call_id: str
+    root_call_id: str
+    parent_call_id: str
+    root_entry: str
+    client_account: str
+    service: str
+    priority: Priority
+    deadline: float
+    depth: int
+    idempotent: bool
+    fingerprint: Fingerprint
+
+    def remaining_ms(self, now):
+        """Return milliseconds until the deadline, at least 0.
+
+        :param now: monotonic seconds.
+        """
+        return max(0, int((self.deadline - now) * 1000))
+
+
+def make_call_id(random_bytes):
+    """Return a new call id.
+
+    :param random_bytes: function that returns N random bytes.
+    """
+    return random_bytes(CALL_ID_BYTES).hex()
+
+
+def compute_fingerprint(client_account, service, method, path, content):
+    """Return the fingerprint of a request.
+
+    :param content: the body, or the part of it that is known at the entry.
+
+    >>> first = compute_fingerprint('a', 's', 'POST', '/x', b'1')
+    >>> first == compute_fingerprint('a', 's', 'POST', '/x', b'1')
+    True
+    >>> first == compute_fingerprint('b', 's', 'POST', '/x', b'1')
+    False
+    """
+    digest = hashlib.blake2b(digest_size=CALL_ID_BYTES)
+    for part in (client_account, service, method, path):
+        encoded = part.encode()
+        # The length in front keeps ('ab', 'c') and ('a', 'bc') apart.
+        digest.update(len(encoded).to_bytes(4, 'big'))
+        digest.update(encoded)
+    digest.update(content)
+    return digest.hexdigest()
--- /dev/null
+++ b/libs/model/src/cactusloft_model/_events.py
@@ -0,0 +1,84 @@
+"""Numbered events: logged through structlog and kept for the time line.
+
+``docs/events.md`` lists each number with its cause and remedy. Numbers are
+never used again for another meaning.
+"""
+
+import collections
+import enum
+
+import attrs
+
+from cactusloft_model import clock
+
+KEPT_RECORDS = 5000
+
+
+class Event(enum.IntEnum):
+    """Every event that a daemon logs."""
+
+    DAEMON_STARTED = 100
+    DAEMON_STOPPING = 101
+    DAEMON_STOPPED = 102
+    CALL_ACCEPTED = 200
+    CALL_ANSWERED = 201
+    CALL_REFUSED = 202
+    CALL_DISPATCHED = 203
+    CALL_DELIVERED = 204
+    CALL_RETRIED = 205
+    CALL_CUT = 206
+    REQUEST_MALFORMED = 210
+    BACKEND_SERVER_ANNOUNCED = 300
+    BACKEND_SERVER_DRAINING = 301
+    BACKEND_SERVER_LEFT = 302
+    BACKEND_SERVER_LOST = 303
+    DOCUMENT_INSTALLED = 400
+    DOCUMENT_APPLIED = 401
+    DOCUMENT_REFUSED = 402
+    CONFIRMATION_STALE = 403
+    CONFIRMATION_RENEWED = 404
+    OPERATOR_REFUSED = 410
+    PEER_REFUSED = 500
+    PEER_LOST = 501
+    PEER_CONNECTED = 502
+
+
+@attrs.frozen
+class Record:
+    """One logged event.
+
+    :ivar stamp: place in the causal order over all daemons.
+    :ivar daemon: name of the daemon that logged it.
+    :ivar fields: details, none of them secret.
+    """
+
+    stamp: clock.Stamp
+    daemon: str
+    event: Event
+    fields: dict[str, object]
+
+
+class EventLog:
+    """Log events of one daemon and keep the latest for the time line.
+
+    :param daemon: name of the daemon.
+    :param hybrid_clock: :class:`clock.HybridClock` that stamps events.
+    :param logger: structlog logger.
+    :param kept: number of records kept in memory.
+    """
+
+    def __init__(self, daemon, hybrid_clock, logger, kept=KEPT_RECORDS):
+        self._daemon = daemon
+        self._clock = hybrid_clock
+        self._logger = logger
+        self._records = collections.deque(maxlen=kept)
+
+    def record(self, event, **fields):
+        """Log ``event`` with its details."""
+        stamp = self._clock.tick()
+        self._records.append(Record(stamp, self._daemon, event, fields))
+        self._logger.info(event.name.lower(), event_id=int(event), **fields)
+
+    def list_records(self, since=clock.Stamp(0, 0)):
+        """Return the kept records after ``since`` in order."""
+        return [r for r in self._records if r.stamp > since]
--- /dev/null
+++ b/libs/model/src/cactusloft_model/calls.py
@@ -0,0 +1,15 @@
+"""The context that travels with a call through the call graph."""
+
+from cactusloft_model._calls import CallContext
+from cactusloft_model._calls import compute_fingerprint
+from cactusloft_model._calls import Fingerprint
+from cactusloft_model._calls import make_call_id
+from cactusloft_model._calls import Priority
+
+__all__ = [
+    'CallContext',
+    'Fingerprint',
+    'Priority',
+    'compute_fingerprint',
+    'make_call_id',
+]
--- /dev/null
+++ b/libs/model/src/cactusloft_model/document.py
@@ -0,0 +1,17 @@
+"""The operators' document: accounts, keys, rates, services and routes."""
+
+from cactusloft_model._document import ClientAccount
+from cactusloft_model._document import Document
+from cactusloft_model._document import EMPTY_DOCUMENT
+from cactusloft_model._document import parse_document
+from cactusloft_model._document import Route
+from cactusloft_model._document import Service
+
+__all__ = [
+    'ClientAccount',
+    'Document',
+    'EMPTY_DOCUMENT',
+    'Route',
+    'Service',
+    'parse_document',
+]
--- /dev/null
+++ b/libs/model/tests/test_document.py
@@ -0,0 +1,84 @@
+"""Tests of the document's validation."""
+
+import pytest
+
+from cactusloft_model import calls
+from cactusloft_model import document
+from cactusloft_model import keys
+
+KEY = 'clk_test'
+VALID = f"""
+[client_account estates]
+rate = 10
+burst = 5
+key_hashes =
+    {keys.hash_key(KEY)}
+
+[service booking]
+
+[route book]
+service = booking
+method = POST
+path = /bookings
+idempotent = no
+priority = critical
+
+[route rest]
+service = booking
+method = ANY
+path = /bookings/*
+idempotent = yes
+access = open
+"""
+
+FAULTY = [
+    ('rate = 10', 'rate = ten', 'client_account estates', 'rate'),
+    ('rate = 10', 'rate = nan', 'client_account estates', 'rate'),
+    ('rate = 10', 'rate = 0', 'client_account estates', 'rate'),
+    ('burst = 5', '', 'client_account estates', 'burst'),
+    ('burst = 5', 'burst = 5\nspeed = 3', 'client_account estates', 'speed'),
+    ('service = booking', 'service = other', 'route book', 'service'),
+    ('idempotent = no', 'idempotent = maybe', 'route book', 'idempotent'),
+    ('path = /bookings\n', 'path = bookings\n', 'route book', 'path'),
+    ('path = /bookings\n', 'path = /a*b\n', 'route book', 'path'),
+    ('[service booking]', '[service Booking]', 'service Booking', ''),
+    ('[service booking]', '[servic booking]', 'servic booking', ''),
+    ('sha256:', 'sha1:', 'client_account estates', 'key_hashes'),
+]
+
+
+def test_valid_document_is_indexed():
+    """A key or route that is not found would refuse valid requests."""
+    parsed = document.parse_document(VALID).unwrap()
+    assert parsed.find_account(KEY).name == 'estates'
+    assert parsed.find_account('clk_other') is None
+    route = parsed.find_route('POST', '/bookings')
+    assert route.priority is calls.Priority.CRITICAL
+    assert parsed.find_route('GET', '/bookings/7').name == 'rest'
+    assert parsed.find_route('GET', '/bookingsx') is None
+
+
+@pytest.mark.parametrize('old,new,section,key', FAULTY)
+def test_fault_is_named(old, new, section, key):
+    """A faulty document must be refused with section and key."""
+    faults = document.parse_document(VALID.replace(old, new)).failure()
+    assert (section, key) in {(f.section, f.key) for f in faults}
+
+
+def test_all_faults_are_listed():
+    """An operator should not have to mend one fault at a time."""
+    text = VALID.replace('rate = 10', 'rate = x').replace('= no', '= x')
+    assert len(document.parse_document(text).failure()) == 2
+
+
+def test_key_of_two_accounts_is_refused():
+    """A shared key would charge one account for another's requests."""
+    section = VALID.split('[service')[0].replace('estates', 'dealers')
+    faults = document.parse_document(VALID + section).failure()
+    assert faults[0].key == 'key_hashes'
+
+
+@pytest.mark.parametrize('text', ['no section', '[a', '[a]\n[a]', '[a]\nb\n'])
+def test_malformed_text_is_refused(text):
+    """Text that is no INI must give a fault and no exception."""
+    assert document.parse_document(text).failure()
--- /dev/null
+++ b/libs/quota/src/cactusloft_quota/__init__.py
@@ -0,0 +1,1 @@
+"""Rate leases: allocator and holders."""
--- /dev/null
+++ b/libs/retry/src/cactusloft_retry/__init__.py
@@ -0,0 +1,1 @@
+"""Retry allowance, retry budget and quarantine."""
