Add peer links over CURVE ZeroMQ sockets

Requests and credit-controlled streams over one DEALER socket for each peer. ZeroMQ's own resending is excluded: a link drops its socket with all that is queued when the connection breaks or stays silent for 1.5 s, so no call is delivered after its sender gave it up.

--- a/libs/link/src/cactusloft_link/__init__.py
+++ b/libs/link/src/cactusloft_link/__init__.py
@@ -1,1 +1,27 @@
-"""Encrypted peer links over ZeroMQ."""
+"""Encrypted links between daemons: requests and flow-controlled streams."""
+
+from cactusloft_link._codec import Codec
+from cactusloft_link._errors import LinkError
+from cactusloft_link._errors import LinkFailure
+from cactusloft_link._errors import StreamLost
+from cactusloft_link._keys import AllowedKeys
+from cactusloft_link._keys import KeyPair
+from cactusloft_link._keys import make_key_pair
+from cactusloft_link._node import Link
+from cactusloft_link._node import Node
+from cactusloft_link._node import PeerAddress
+from cactusloft_link._streams import Stream
+
+__all__ = [
+    'AllowedKeys',
+    'Codec',
+    'KeyPair',
+    'Link',
+    'LinkError',
+    'LinkFailure',
+    'Node',
+    'PeerAddress',
+    'Stream',
+    'StreamLost',
+    'make_key_pair',
+]
--- /dev/null
+++ b/libs/link/src/cactusloft_link/_codec.py
@@ -0,0 +1,111 @@
+"""Frames: a fixed header, a MessagePack body and raw payload bytes.
+
+The header carries the message number, the exchange it belongs to, the
+sender's monotonic clock and its hybrid clock stamp. Bodies are attrs classes,
+so that both ends check types when they decode.
+"""
+
+import enum
+import struct
+
+import attrs
+import msgspec
+
+from cactusloft_model import clock
+
+PROTOCOL_VERSION = 1
+_HEADER = struct.Struct('!BBHQQQI')
+
+
+class FrameType(enum.IntEnum):
+    """What a frame means to the link."""
+
+    REQUEST = 1
+    REPLY = 2
+    ERROR = 3
+    STREAM_OPEN = 4
+    STREAM_DATA = 5
+    STREAM_CREDIT = 6
+    STREAM_RESET = 7
+    PING = 8
+    PONG = 9
+
+
+@attrs.frozen
+class Frame:
+    """One frame.
+
+    :ivar exchange: number of the request or stream, chosen by its opener.
+    :ivar sent_us: sender's monotonic clock in microseconds.
+    :ivar message: decoded attrs object, or None.
+    :ivar payload: raw bytes beside the message.
+    """
+
+    type: FrameType
+    exchange: int
+    sent_us: int
+    stamp: clock.Stamp
+    message: object = None
+    payload: bytes = b''
+
+
+class MalformedFrame(Exception):
+    """Bytes from a peer that are not a frame of this protocol."""
+
+
+class Codec:
+    """Encode and decode messages by number.
+
+    :param classes: mapping from message number (1 to 65535) to attrs class.
+    """
+
+    def __init__(self, classes):
+        self._numbers = {cls: number for number, cls in classes.items()}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoders = {
+            number: msgspec.msgpack.Decoder(cls)
+            for number, cls in classes.items()
+        }
+
+    def encode(self, frame):
+        """Return the parts of ``frame`` as a list of bytes."""
+        number, body = 0, b''
+        if frame.message is not None:
+            number = self._numbers[type(frame.message)]
+            body = self._encoder.encode(frame.message)
+        header = _HEADER.pack(
+            PROTOCOL_VERSION,
+            frame.type,
+            number,
+            frame.exchange,
+            frame.sent_us,
+            frame.stamp.wall_ms,
+            frame.stamp.counter,
+        )
+        return [header, body, frame.payload]
+
+    def decode(self, parts):
+        """Return the frame of ``parts``.
+
+        :raises MalformedFrame: when the parts are not a known frame.
+        """
+        try:
+            header, body, payload = parts
+            version, kind, number, exchange, sent_us, wall_ms, counter = (
+                _HEADER.unpack(header)
+            )
+            if version != PROTOCOL_VERSION:
+                raise MalformedFrame(f'protocol version {version}')
+            message = self._decoders[number].decode(body) if number else None
+            return Frame(
+                FrameType(kind),
+                exchange,
+                sent_us,
+                clock.Stamp(wall_ms, counter),
+                message,
+                payload,
+            )
+        except (ValueError, KeyError, struct.error) as error:
+            raise MalformedFrame(str(error)) from error
+        except msgspec.DecodeError as error:
+            raise MalformedFrame(str(error)) from error
--- /dev/null
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -0,0 +1,343 @@
+"""The peer endpoint of a daemon: one listener, and one link for each peer.
+
+A link is a DEALER socket to a peer's ROUTER. ZeroMQ reconnects and resends
+silently, which must not happen to calls: a queued message could reach its peer
+after the sender gave it up. A link therefore takes a new socket, which drops
+everything queued, whenever the connection broke or the peer was silent.
+"""
+
+import asyncio
+import itertools
+import time
+
+import attrs
+from returns import result
+import zmq
+import zmq.auth.asyncio
+
+from cactusloft_link import _codec
+from cactusloft_link import _errors
+from cactusloft_link import _listener
+from cactusloft_link import _monitor
+from cactusloft_link import _socket
+from cactusloft_link import _streams
+from cactusloft_model import clock
+
+PING_INTERVAL_S = 0.4
+# An idle link is only kept from being dropped on the way; with dozens of idle
+# peers, frequent pings would cost more than the control traffic.
+IDLE_PING_INTERVAL_S = 10.0
+SILENCE_LIMIT_S = 1.5
+HIGH_WATER_MARK = 10_000
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+ZAP_DOMAIN = b'cactusloft'
+
+_T = _codec.FrameType
+
+
+@attrs.frozen
+class PeerAddress:
+    """Where a peer listens, and the key that it must prove.
+
+    :ivar endpoint: ``IP:port``.
+    :ivar public_key: Z85 CURVE public key.
+    """
+
+    endpoint: str
+    public_key: str
+
+
+class Node:
+    """All links of one daemon.
+
+    :param codec: :class:`Codec` of the messages.
+    :param key_pair: this daemon's :class:`KeyPair`.
+    :param allowed_keys: :class:`AllowedKeys` for incoming connections.
+    :param hybrid_clock: stamps frames for the time line.
+    """
+
+    def __init__(self, codec, key_pair, allowed_keys, hybrid_clock):
+        self._codec = codec
+        self._key_pair = key_pair
+        self._allowed_keys = allowed_keys
+        self._clock = hybrid_clock
+        self._context = zmq.Context()
+        self._links = {}
+        self._listener = _listener.Listener(self)
+        self._authenticator = None
+        self._tasks = set()
+        self.on_event = lambda name, **fields: None
+
+    def handle_requests(self, message_class, handler):
+        """Answer requests of a class.
+
+        :param handler: coroutine function(message, age_s) that returns the
+            reply. ``age_s`` is an estimate of the message's time in queues.
+        """
+        self._listener.request_handlers[message_class] = handler
+
+    def handle_streams(self, message_class, handler):
+        """Serve streams that open with a class.
+
+        :param handler: coroutine function(stream, frame); the stream is closed
+            when it returns.
+        """
+        self._listener.stream_handlers[message_class] = handler
+
+    def listen(self, endpoint):
+        """Accept peers at ``endpoint`` (``IP:port``).
+
+        :returns: the port, chosen by the system for port 0.
+        """
+        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
+            self._context
+        )
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(ZAP_DOMAIN.decode(), self)
+        socket = self._make_socket(zmq.ROUTER)
+        socket.curve_server = True
+        socket.zap_domain = ZAP_DOMAIN
+        # Without it, frames to a peer that went away vanish silently.
+        socket.router_mandatory = True
+        socket.bind(f'tcp://{endpoint}')
+        port = int(socket.last_endpoint.rsplit(b':', 1)[1])
+        self._listener.start(socket)
+        return port
+
+    def callback(self, _domain, key):
+        """Decide on a connecting peer; called by the ZAP authenticator."""
+        is_allowed = self._allowed_keys.allows(key)
+        if not is_allowed:
+            self.on_event('peer_refused', public_key=key.decode('ascii'))
+        return is_allowed
+
+    def connect(self, address):
+        """Return the link to ``address``, made on first use.
+
+        :param address: :class:`PeerAddress`.
+        """
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = Link(self, address)
+            link.start()
+        return link
+
+    def disconnect(self, address):
+        """Close the link to ``address`` if there is one."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.close()
+
+    def close(self):
+        """Close all links and the listener."""
+        for address in list(self._links):
+            self.disconnect(address)
+        self._listener.close()
+        for task in self._tasks:
+            task.cancel()
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    def encode(self, kind, exchange, message=None, payload=b''):
+        """Return the parts of a frame that is sent now."""
+        sent_us = time.monotonic_ns() // 1000
+        frame = _codec.Frame(
+            kind, exchange, sent_us, self._clock.tick(), message, payload
+        )
+        return self._codec.encode(frame)
+
+    def decode(self, parts):
+        """Return the frame of ``parts``, or None when it is malformed."""
+        try:
+            frame = self._codec.decode(parts)
+        except _codec.MalformedFrame as error:
+            self.on_event('malformed_frame', detail=str(error))
+            return None
+        if frame.stamp > clock.Stamp(0, 0):
+            self._clock.merge(frame.stamp)
+        return frame
+
+    def spawn(self, coroutine):
+        """Run a coroutine as a task that ends with the node."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def make_dealer(self, address, on_parts, on_disconnected):
+        """Return a connected socket and its monitor."""
+        socket = self._make_socket(zmq.DEALER)
+        socket.curve_serverkey = address.public_key.encode('ascii')
+        # Messages wait for no connection: a queued call would be delivered
+        # after its sender gave it up.
+        socket.immediate = 1
+        socket.reconnect_ivl = 50
+        socket.reconnect_ivl_max = 1000
+        monitor = _monitor.Monitor(socket, on_disconnected)
+        socket.connect(f'tcp://{address.endpoint}')
+        return _socket.LoopSocket(socket, on_parts), monitor
+
+    def _make_socket(self, kind):
+        socket = self._context.socket(kind)
+        socket.linger = 0
+        socket.sndhwm = HIGH_WATER_MARK
+        socket.rcvhwm = HIGH_WATER_MARK
+        socket.maxmsgsize = MAX_MESSAGE_BYTES
+        socket.curve_publickey = self._key_pair.public
+        socket.curve_secretkey = self._key_pair.secret
+        return socket
+
+
+class Link:
+    """The outgoing connection to one peer.
+
+    :param node: the owning :class:`Node`.
+    :param address: :class:`PeerAddress` of the peer.
+    """
+
+    def __init__(self, node, address):
+        self._node = node
+        self._address = address
+        self._exchanges = itertools.count(1)
+        self._requests = {}
+        self._streams = {}
+        self._socket = None
+        self._monitor = None
+        self._last_heard = 0.0
+        self._waiting_since = 0.0
+        self._task = None
+
+    @property
+    def is_up(self):
+        """Tell whether the peer answered on the present connection."""
+        return self._last_heard > 0
+
+    def start(self):
+        """Connect and keep the connection alive until closed."""
+        self._waiting_since = time.monotonic()
+        self._open_socket()
+        self._task = self._node.spawn(self._run())
+
+    def close(self):
+        """Close the connection; open exchanges are lost."""
+        if self._task is not None:
+            self._task.cancel()
+        self._close_socket()
+        self._lose_exchanges()
+
+    async def request(self, message, timeout_s, payload=b''):
+        """Send a request and wait for its reply.
+
+        :param timeout_s: seconds to wait.
+        :returns: ``Success(reply)``, or ``Failure(LinkError)``.
+        """
+        exchange = next(self._exchanges)
+        waiter = asyncio.get_running_loop().create_future()
+        self._requests[exchange] = waiter
+        try:
+            if not self._send(_T.REQUEST, exchange, message, payload):
+                return _fail(_errors.LinkFailure.LOST, 'not connected')
+            return await asyncio.wait_for(waiter, timeout_s)
+        except TimeoutError:
+            return _fail(_errors.LinkFailure.TIMEOUT, f'{timeout_s} s')
+        finally:
+            self._requests.pop(exchange, None)
+
+    def open_stream(self, message, payload=b''):
+        """Open a stream with its first message.
+
+        :raises StreamLost: when the peer is not connected; nothing was sent.
+        """
+        exchange = next(self._exchanges)
+        if not self._send(_T.STREAM_OPEN, exchange, message, payload):
+            raise _errors.StreamLost('not connected')
+        stream = _streams.Stream(exchange, self._send, self._forget_stream)
+        self._streams[exchange] = stream
+        return stream
+
+    async def wait_until_up(self, timeout_s):
+        """Wait until the peer answered; return False when it did not."""
+        deadline = time.monotonic() + timeout_s
+        while not self.is_up and time.monotonic() < deadline:
+            await asyncio.sleep(0.01)
+        return self.is_up
+
+    async def _run(self):
+        last_ping = 0.0
+        while True:
+            now = time.monotonic()
+            is_idle = self.is_up and not self._requests and not self._streams
+            if is_idle:
+                self._waiting_since = now
+            if not is_idle or now - last_ping > IDLE_PING_INTERVAL_S:
+                self._send(_T.PING, 0)
+                last_ping = now
+            silent_since = max(self._last_heard, self._waiting_since)
+            if now - silent_since > SILENCE_LIMIT_S:
+                self._reset()
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    def _send(self, kind, exchange, message=None, payload=b''):
+        parts = self._node.encode(kind, exchange, message, payload)
+        return not self._socket.is_closed and self._socket.send(parts)
+
+    def _open_socket(self):
+        self._socket, self._monitor = self._node.make_dealer(
+            self._address, self._take_parts, self._reset
+        )
+
+    def _close_socket(self):
+        self._monitor.close()
+        self._socket.close()
+
+    def _reset(self):
+        """Drop the connection with all that is queued, and connect anew."""
+        if self._last_heard:
+            self._node.on_event('peer_lost', endpoint=self._address.endpoint)
+        self._last_heard = 0.0
+        self._waiting_since = time.monotonic()
+        self._close_socket()
+        self._lose_exchanges()
+        self._open_socket()
+
+    def _lose_exchanges(self):
+        lost = _fail(_errors.LinkFailure.LOST, 'connection lost')
+        for waiter in list(self._requests.values()):
+            if not waiter.done():
+                waiter.set_result(lost)
+        for stream in list(self._streams.values()):
+            stream.lose()
+
+    def _forget_stream(self, exchange):
+        self._streams.pop(exchange, None)
+
+    def _take_parts(self, parts):
+        frame = self._node.decode(parts)
+        if frame is None:
+            return
+        if not self._last_heard:
+            self._node.on_event(
+                'peer_connected', endpoint=self._address.endpoint
+            )
+        self._last_heard = time.monotonic()
+        if frame.type in (_T.REPLY, _T.ERROR):
+            self._take_reply(frame)
+        elif frame.type is not _T.PONG:
+            stream = self._streams.get(frame.exchange)
+            if stream is not None:
+                stream.take_frame(frame)
+
+    def _take_reply(self, frame):
+        waiter = self._requests.get(frame.exchange)
+        if waiter is None or waiter.done():
+            return
+        if frame.type is _T.REPLY:
+            waiter.set_result(result.Success(frame.message))
+        else:
+            detail = frame.payload.decode(errors='replace')
+            waiter.set_result(_fail(_errors.LinkFailure.REFUSED, detail))
+
+
+def _fail(failure, detail):
+    return result.Failure(_errors.LinkError(failure, detail))
