--- /dev/null
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -0,0 +1,160 @@
+"""Choice of a member for a call: the better of two random ones.
+
+Two random candidates avoid that all daemons send to the same least loaded
+member at once, and still keep the longest queues short.
+"""
+
+import attrs
+
+# A new process fills caches and connections first.
+SLOW_START_S = 10.0
+LOWEST_WARMTH = 0.1
+# A report of a member that got no call since says little after this time.
+REPORT_KEPT_S = 2.0
+# A member that refused as not serving is left out until the view of the
+# members has had time to follow.
+AVOID_S = 1.0
+# Pressure from which a member counts as overloaded for the preference of the
+# own data centre.
+SPILL_PRESSURE = 0.05
+# Adds to the load of a member that refuses everything; large against the
+# load of one that is merely busy.
+PRESSURE_WEIGHT = 4.0
+
+
+@attrs.define
+class _State:
+    """What this daemon knows of one member beyond its registration."""
+
+    process: tuple
+    first_seen: float
+    in_flight: int = 0
+    reported_in_flight: int = 0
+    reported_pressure: float = 0.0
+    reported_at: float = float('-inf')
+    avoided_until: float = float('-inf')
+
+
+class Chooser:
+    """Choose members of one service.
+
+    :param data_centre: data centre of this daemon.
+    :param random_source: like :class:`random.Random`; its ``sample`` is used.
+    """
+
+    def __init__(self, data_centre, random_source):
+        self._data_centre = data_centre
+        self._random = random_source
+        self._states = {}
+        self._members = ()
+
+    def update(self, members, now):
+        """Take the present subset.
+
+        :param members: iterable of :class:`Registration`.
+        :param now: monotonic seconds.
+        """
+        self._members = tuple(members)
+        for member in self._members:
+            process = member.incarnation, member.instance
+            state = self._states.get(member.name)
+            if state is None:
+                self._states[member.name] = _State(process, now)
+            elif state.process != process:
+                # Calls in flight were lost with the former process, but
+                # finish() is still to come for them.
+                self._states[member.name] = _State(
+                    process, now, state.in_flight
+                )
+        names = {member.name for member in self._members}
+        self._states = {
+            name: state
+            for name, state in self._states.items()
+            if name in names or state.in_flight
+        }
+
+    def choose(self, now, excluded=()):
+        """Return the member for a call, or None when there is none.
+
+        :param excluded: names of members that are not to be chosen.
+        """
+        usable = [
+            member
+            for member in self._members
+            if member.is_serving
+            and member.name not in excluded
+            and self._states[member.name].avoided_until <= now
+        ]
+        local = [m for m in usable if self._is_local_choice(m, now)]
+        candidates = local or usable
+        # With two candidates the sample still shuffles: min() keeps the
+        # first of equals, which must not always be the same member.
+        count = min(2, len(candidates))
+        candidates = self._random.sample(candidates, count)
+        return min(
+            candidates,
+            key=lambda member: self._compute_load(member, now),
+            default=None,
+        )
+
+    def begin(self, name):
+        """Count a call in flight at a member."""
+        state = self._states.get(name)
+        if state is not None:
+            state.in_flight += 1
+
+    def finish(self, name):
+        """Count a call in flight less."""
+        state = self._states.get(name)
+        if state is not None and state.in_flight:
+            state.in_flight -= 1
+
+    def report(self, name, in_flight, pressure, now):
+        """Take the figures that an owner sent with a response.
+
+        :param in_flight: calls in flight at its backend server.
+        :param pressure: share of calls that it sheds, 0 to 1.
+        """
+        state = self._states.get(name)
+        if state is not None:
+            state.reported_in_flight = in_flight
+            state.reported_pressure = pressure
+            state.reported_at = now
+
+    def avoid(self, name, now):
+        """Leave a member out for a while, after it refused new work."""
+        state = self._states.get(name)
+        if state is not None:
+            state.avoided_until = now + AVOID_S
+
+    def _is_local_choice(self, member, now):
+        if member.data_centre != self._data_centre:
+            return False
+        state = self._states[member.name]
+        pressure = self._read_pressure(state, now)
+        return (
+            pressure < SPILL_PRESSURE
+            and self._compute_load(member, now) <= 1.0
+        )
+
+    def _compute_load(self, member, now):
+        state = self._states[member.name]
+        in_flight = state.in_flight
+        if now - state.reported_at < REPORT_KEPT_S:
+            in_flight = max(in_flight, state.reported_in_flight)
+        slots = max(1, member.slots) * compute_warmth(now - state.first_seen)
+        load = (in_flight + 1) / max(1.0, slots)
+        return load + PRESSURE_WEIGHT * self._read_pressure(state, now)
+
+    def _read_pressure(self, state, now):
+        is_fresh = now - state.reported_at < REPORT_KEPT_S
+        return state.reported_pressure if is_fresh else 0.0
+
+
+def compute_warmth(age_s):
+    """Return the share of its load that a member of this age takes.
+
+    >>> compute_warmth(0.0), compute_warmth(5.0), compute_warmth(60.0)
+    (0.1, 0.5, 1.0)
+    """
+    return min(1.0, max(LOWEST_WARMTH, age_s / SLOW_START_S))
--- /dev/null
+++ b/libs/membership/src/cactusloft_membership/choice.py
@@ -0,0 +1,15 @@
+"""View of the members of a service, subset and choice for a call."""
+
+from cactusloft_membership._choice import Chooser
+from cactusloft_membership._choice import compute_warmth
+from cactusloft_membership._subset import choose_subset
+from cactusloft_membership._subset import SUBSET_SIZE
+from cactusloft_membership._view import View
+
+__all__ = [
+    'Chooser',
+    'SUBSET_SIZE',
+    'View',
+    'choose_subset',
+    'compute_warmth',
+]
