Serve calls end to end through entry and owner daemons

Callers reach any daemon over HTTP; the entry matches the route, authenticates and drops the key, and sends the call to the local owner or over a peer link to another one, which delivers it with a call token. Answers stream with bounded memory and a cut answer aborts the connection. The document comes from a file and members register with the control hosts directly until the control role lands.

--- /dev/null
+++ b/daemon/src/cactusloftd/_backend.py
@@ -0,0 +1,125 @@
+"""The listener for the backend server beside the daemon.
+
+It takes announcements and the nested calls that the backend server makes
+while it runs a call.
+"""
+
+import json
+
+from aiohttp import web
+import attrs
+import msgspec
+from returns import pipeline
+
+from cactusloft_model import errors
+from cactusloftd import _calls
+from cactusloftd import _delivery
+from cactusloftd import _http
+from cactusloftd import _owner
+
+CALL_PREFIX = '/call/'
+MAX_ANNOUNCEMENT_BYTES = 16 * 1024
+_E = errors.ErrorKind
+
+
+@attrs.frozen
+class Accepted:
+    """Answer to an announcement.
+
+    :ivar lease_ms: milliseconds within which it must be renewed.
+    """
+
+    lease_ms: int
+
+
+class Backend:
+    """Serve the backend server beside the daemon.
+
+    :param entry: :class:`_entry.Entry`.
+    :param owner: :class:`_owner.Owner`.
+    :param exchanges: :class:`_http.Exchanges`.
+    """
+
+    def __init__(self, entry, owner, exchanges):
+        self._entry = entry
+        self._owner = owner
+        self._exchanges = exchanges
+        self._actions = {
+            '/v1/announce': self._announce,
+            '/v1/load': self._report_load,
+            '/v1/drain': self._drain,
+            '/v1/leave': self._leave,
+        }
+
+    async def handle(self, request):
+        """Answer one request."""
+        with self._exchanges:
+            if request.path.startswith(CALL_PREFIX):
+                return await self._serve_nested(request)
+            action = self._actions.get(request.path)
+            if action is None or request.method != 'POST':
+                return await _refuse(request, _calls.fail(_E.NOT_FOUND))
+            body = await _http.read_body(request, MAX_ANNOUNCEMENT_BYTES)
+            if not pipeline.is_successful(body):
+                return await _refuse(request, body)
+            return await action(request, body.unwrap())
+
+    async def _announce(self, request, body):
+        try:
+            announcement = msgspec.json.decode(body, type=_owner.Announcement)
+        except msgspec.DecodeError as error:
+            failed = _calls.fail(_E.BAD_REQUEST, str(error))
+            return await _refuse(request, failed)
+        await self._owner.announce(announcement)
+        accepted = Accepted(int(_owner.LEASE_S * 1000))
+        return web.Response(
+            body=msgspec.json.encode(accepted),
+            content_type='application/json',
+        )
+
+    async def _report_load(self, request, body):
+        try:
+            json.loads(body)
+        except ValueError as error:
+            failed = _calls.fail(_E.BAD_REQUEST, str(error))
+            return await _refuse(request, failed)
+        return web.Response(status=204)
+
+    async def _drain(self, _request, _body):
+        self._owner.drain()
+        return web.Response(status=204)
+
+    async def _leave(self, _request, _body):
+        self._owner.leave()
+        return web.Response(status=204)
+
+    async def _serve_nested(self, request):
+        token = request.headers.get(_delivery.TOKEN_HEADER, '')
+        parent = self._owner.find_parent(token)
+        if parent is None:
+            return await _refuse(request, _calls.fail(_E.BAD_CALL_TOKEN))
+        rest = request.raw_path.removeprefix(CALL_PREFIX)
+        service, _, target = rest.partition('/')
+        head = _http.read_head(request, '/' + target)
+        if not pipeline.is_successful(head):
+            return await _refuse(request, head)
+        limit = _calls.MAX_NESTED_BODY_BYTES
+        body = await _http.read_body(request, limit)
+        if not pipeline.is_successful(body):
+            return await _refuse(request, body)
+        made = self._entry.make_nested_call(
+            head.unwrap(), service, parent, body.unwrap()
+        )
+        if not pipeline.is_successful(made):
+            return await _refuse(request, made)
+        call = made.unwrap()
+        outcome = await self._entry.dispatch(call)
+        if not pipeline.is_successful(outcome):
+            return await _refuse(request, outcome, call.context.call_id)
+        return await _http.write_response(
+            request, outcome.unwrap(), call.context.call_id
+        )
+
+
+async def _refuse(request, failed, call_id=''):
+    return await _http.write_problem(request, failed.failure(), call_id)
--- /dev/null
+++ b/daemon/src/cactusloftd/_calls.py
@@ -0,0 +1,82 @@
+"""Requests and responses on their way through a daemon."""
+
+from collections import abc
+import typing
+
+import attrs
+from returns import result
+
+from cactusloft_model import calls
+from cactusloft_model import errors
+
+Headers = tuple[tuple[str, str], ...]
+Chunks = abc.AsyncIterator[bytes]
+
+# Answers up to this size travel and are kept whole.
+SMALL_BODY_BYTES = 64 * 1024
+MAX_NESTED_BODY_BYTES = 8 * 1024 * 1024
+
+
+@attrs.frozen
+class Call:
+    """A request that is ready to be sent to a backend server.
+
+    :ivar target: path with query.
+    :ivar headers: end-to-end headers, without any key.
+    """
+
+    context: calls.CallContext
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+class ResponseCut(Exception):
+    """The body of a response ended before its end."""
+
+
+@attrs.define
+class Response:
+    """A response whose body may still be arriving.
+
+    :ivar length: bytes of the body, or None when not known beforehand.
+    :ivar chunks: the body; raises :class:`ResponseCut` when it breaks off.
+    :ivar close: coroutine function that gives the exchange up or ends it;
+        must be called once.
+    """
+
+    status: int
+    headers: Headers
+    length: int | None
+    chunks: Chunks
+    close: abc.Callable[[], abc.Awaitable[None]]
+
+
+Outcome = result.Result[Response, errors.CallError]
+
+
+class Runner(typing.Protocol):
+    """Something that runs a call: the local owner or a peer's."""
+
+    async def run(self, call: Call) -> Outcome:
+        """Run ``call`` and return its response or why there is none."""
+
+
+async def iterate_once(body):
+    """Yield ``body`` as the only chunk of a response."""
+    if body:
+        yield body
+
+
+async def close_nothing():
+    """Close a response that holds no resources."""
+
+
+def fail(kind, detail='', not_run=None):
+    """Return the failure of a call.
+
+    :param not_run: :class:`errors.NotRun` where more is known than the table
+        of answers says.
+    """
+    return result.Failure(errors.CallError(kind, detail, not_run))
--- /dev/null
+++ b/daemon/src/cactusloftd/_messages.py
@@ -0,0 +1,107 @@
+"""Messages between daemons, and the number of each.
+
+A number is never used again for another message.
+"""
+
+import attrs
+
+import cactusloft_link as link
+from cactusloft_model import calls
+from cactusloft_model import errors
+
+
+@attrs.frozen
+class CallStart:
+    """Open the stream of a call; the payload starts the body.
+
+    :ivar remaining_ms: milliseconds until the deadline when it was sent.
+    :ivar body_bytes: size of the whole body.
+    """
+
+    call_id: str
+    root_call_id: str
+    parent_call_id: str
+    root_entry: str
+    client_account: str
+    service: str
+    priority: calls.Priority
+    remaining_ms: int
+    depth: int
+    idempotent: bool
+    fingerprint: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body_bytes: int
+
+
+@attrs.frozen
+class BodyChunk:
+    """The payload continues a body.
+
+    :ivar is_last: whether the body ends with this payload.
+    """
+
+    is_last: bool
+
+
+@attrs.frozen
+class AnswerStart:
+    """Head of an answer; the payload starts its body.
+
+    :ivar length: bytes of the body, or None when not known beforehand.
+    :ivar is_complete: whether the payload is the whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    length: int | None
+    is_complete: bool
+
+
+@attrs.frozen
+class Refusal:
+    """The owner's reason for giving no answer."""
+
+    kind: errors.ErrorKind
+    detail: str
+    not_run: errors.NotRun | None
+
+
+@attrs.frozen
+class Register:
+    """A daemon's registration with a control host.
+
+    :ivar service: service of the backend server beside it, or empty.
+    :ivar is_serving: whether it takes new work.
+    """
+
+    name: str
+    incarnation: str
+    host: str
+    data_centre: str
+    peers: str
+    admin: str
+    public_key: str
+    service: str
+    slots: int
+    is_serving: bool
+
+
+@attrs.frozen
+class Registrations:
+    """All registrations that a control host knows."""
+
+    members: tuple[Register, ...]
+
+
+CODEC = link.Codec(
+    {
+        1: CallStart,
+        2: BodyChunk,
+        3: AnswerStart,
+        4: Refusal,
+        10: Register,
+        11: Registrations,
+    }
+)
--- /dev/null
+++ b/daemon/src/cactusloftd/_peers.py
@@ -0,0 +1,183 @@
+"""Calls between daemons: the entry's side and the owner's side."""
+
+import attrs
+from returns import result
+
+import cactusloft_link as link
+from cactusloft_model import calls
+from cactusloft_model import errors
+from cactusloftd import _calls
+from cactusloftd import _messages
+
+_E = errors.ErrorKind
+CHUNK_BYTES = 64 * 1024
+# A first connection takes a few round trips for the key exchange.
+CONNECT_WAIT_S = 0.3
+
+
+class RemoteOwner:
+    """Run calls on the owner behind a link.
+
+    :param peer: :class:`link.Link` to the owner's daemon.
+    :param now: function that returns monotonic seconds.
+    """
+
+    def __init__(self, peer, now):
+        self._peer = peer
+        self._now = now
+
+    async def run(self, call):
+        """Run ``call`` on the peer.
+
+        :returns: ``Success(Response)`` or ``Failure(CallError)``.
+        """
+        if not await self._peer.wait_until_up(CONNECT_WAIT_S):
+            return _calls.fail(_E.NO_BACKEND_SERVER, 'owner not connected')
+        body = call.body
+        start = _make_start(call, self._now())
+        try:
+            stream = self._peer.open_stream(start, body[:CHUNK_BYTES])
+        except link.StreamLost as error:
+            return _calls.fail(_E.NO_BACKEND_SERVER, str(error))
+        is_kept = False
+        try:
+            await _send_rest(stream, body, _messages.BodyChunk)
+            frame = await stream.receive()
+            outcome = _read_head(stream, frame)
+            is_kept = isinstance(outcome, result.Success)
+            return outcome
+        except link.StreamLost:
+            return _calls.fail(_E.BACKEND_SERVER_FAILED, 'owner was lost')
+        finally:
+            if not is_kept:
+                stream.close()
+
+
+class CallServer:
+    """Serve calls that other daemons send to the local owner.
+
+    :param owner: the local :class:`_calls.Runner`.
+    :param now: function that returns monotonic seconds.
+    """
+
+    def __init__(self, owner, now):
+        self._owner = owner
+        self._now = now
+
+    async def serve(self, stream, frame):
+        """Serve one stream; the handler of ``CallStart``."""
+        start = frame.message
+        body = frame.payload
+        while len(body) < start.body_bytes:
+            body += (await stream.receive()).payload
+        # Time that the message spent in queues counts against its deadline.
+        deadline = self._now() + start.remaining_ms / 1000 - stream.age_s
+        call = _make_call(start, body, deadline)
+        if deadline <= self._now():
+            outcome = _calls.fail(_E.EXPIRED_IN_QUEUE)
+        else:
+            outcome = await self._owner.run(call)
+        if isinstance(outcome, result.Failure):
+            await stream.send(_make_refusal(outcome.failure()))
+            # Keeps the stream open until the entry has read the refusal.
+            await stream.wait_closed()
+            return
+        response = outcome.unwrap()
+        try:
+            await _send_response(stream, response)
+            await stream.wait_closed()
+        finally:
+            await response.close()
+
+
+def _make_start(call, now):
+    context = call.context
+    return _messages.CallStart(
+        call_id=context.call_id,
+        root_call_id=context.root_call_id,
+        parent_call_id=context.parent_call_id,
+        root_entry=context.root_entry,
+        client_account=context.client_account,
+        service=context.service,
+        priority=context.priority,
+        remaining_ms=context.remaining_ms(now),
+        depth=context.depth,
+        idempotent=context.idempotent,
+        fingerprint=context.fingerprint,
+        method=call.method,
+        target=call.target,
+        headers=call.headers,
+        body_bytes=len(call.body),
+    )
+
+
+def _make_call(start, body, deadline):
+    names = attrs.fields_dict(calls.CallContext).keys() - {'deadline'}
+    fields = {name: getattr(start, name) for name in names}
+    context = calls.CallContext(deadline=deadline, **fields)
+    return _calls.Call(
+        context, start.method, start.target, start.headers, body
+    )
+
+
+def _make_refusal(error):
+    return _messages.Refusal(error.kind, error.detail, error.not_run)
+
+
+async def _send_rest(stream, body, make_message):
+    for offset in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
+        chunk = body[offset : offset + CHUNK_BYTES]
+        is_last = offset + CHUNK_BYTES >= len(body)
+        await stream.send(make_message(is_last), chunk)
+
+
+async def _send_response(stream, response):
+    """Send head and body; small bodies go with the head in one message."""
+    chunks = response.chunks
+    is_small = (
+        response.length is not None
+        and response.length <= _calls.SMALL_BODY_BYTES
+    )
+    body = b''.join([chunk async for chunk in chunks]) if is_small else b''
+    head = _messages.AnswerStart(
+        response.status, response.headers, response.length, is_small
+    )
+    await stream.send(head, body)
+    if is_small:
+        return
+    async for chunk in chunks:
+        await stream.send(_messages.BodyChunk(False), chunk)
+    await stream.send(_messages.BodyChunk(True))
+
+
+def _read_head(stream, frame):
+    message = frame.message
+    if isinstance(message, _messages.Refusal):
+        return _calls.fail(message.kind, message.detail, message.not_run)
+    if not isinstance(message, _messages.AnswerStart):
+        return _calls.fail(_E.BACKEND_SERVER_FAILED, 'unexpected message')
+    if message.is_complete:
+        chunks = _calls.iterate_once(frame.payload)
+    else:
+        chunks = _receive_body(stream)
+
+    async def close():
+        stream.close()
+
+    return result.Success(
+        _calls.Response(
+            message.status, message.headers, message.length, chunks, close
+        )
+    )
+
+
+async def _receive_body(stream):
+    is_last = False
+    while not is_last:
+        try:
+            frame = await stream.receive()
+        except link.StreamLost as error:
+            raise _calls.ResponseCut('owner was lost') from error
+        is_last = frame.message.is_last
+        if frame.payload:
+            yield frame.payload
--- /dev/null
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -0,0 +1,142 @@
+"""A whole daemon: its parts, their start and their shutdown."""
+
+import asyncio
+import pathlib
+import random
+import secrets
+import time
+
+from aiohttp import web
+import structlog
+
+import cactusloft_link as link
+from cactusloft_model import clock
+from cactusloft_model import events
+from cactusloftd import _backend
+from cactusloftd import _callers
+from cactusloftd import _config
+from cactusloftd import _entry
+from cactusloftd import _http
+from cactusloftd import _members
+from cactusloftd import _messages
+from cactusloftd import _owner
+from cactusloftd import _peers
+
+SHUTDOWN_POLL_S = 0.02
+_V = events.Event
+_LINK_EVENTS = {
+    'peer_refused': _V.PEER_REFUSED,
+    'peer_lost': _V.PEER_LOST,
+    'peer_connected': _V.PEER_CONNECTED,
+    'handler_failed': _V.INTERNAL_ERROR,
+}
+
+
+class Daemon:
+    """All parts of one daemon.
+
+    :param settings: :class:`_settings.Settings`.
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._incarnation = secrets.token_hex(8)
+        now = time.monotonic
+        hybrid_clock = clock.HybridClock(lambda: time.time_ns() // 10**6)
+        self._log = events.EventLog(
+            settings.name, hybrid_clock, structlog.get_logger()
+        )
+        security = settings.security
+        self._node = link.Node(
+            _messages.CODEC,
+            security.key_pair,
+            link.AllowedKeys(security.allowed_keys),
+            hybrid_clock,
+        )
+        self._node.on_event = self._record_link_event
+        self._owner = _owner.Owner(self._log, now)
+        self._members = _members.Members(
+            self._node, settings.control_hosts, self._describe, random.Random()
+        )
+        self._registry = _members.Registry(now)
+        text = pathlib.Path(settings.document_file).read_text()
+        self._entry = _entry.Entry(
+            settings.name,
+            _config.FileConfig(text),
+            self._owner,
+            self._members,
+            self._log,
+            now,
+        )
+        self._exchanges = _http.Exchanges()
+        self._runners = []
+        self._call_server = _peers.CallServer(self._owner, now)
+
+    async def run(self, stop):
+        """Serve until the event ``stop`` is set, then shut down."""
+        await self._start()
+        self._log.record(_V.DAEMON_STARTED, incarnation=self._incarnation)
+        register = asyncio.create_task(self._members.run())
+        await stop.wait()
+        self._log.record(_V.DAEMON_STOPPING)
+        await self._shut_down()
+        register.cancel()
+        await self._close()
+        self._log.record(_V.DAEMON_STOPPED)
+
+    async def _start(self):
+        listeners = self._settings.listeners
+        self._node.handle_streams(_messages.CallStart, self._call_server.serve)
+        self._node.handle_requests(_messages.Register, self._registry.register)
+        self._node.listen(listeners.peers)
+        callers = _callers.Callers(self._entry, self._exchanges, self._log)
+        backend = _backend.Backend(self._entry, self._owner, self._exchanges)
+        await self._listen(listeners.callers, callers.handle)
+        await self._listen(listeners.backend, backend.handle)
+
+    async def _listen(self, endpoint, handler):
+        runner = web.ServerRunner(_http.make_server(handler, self._log))
+        await runner.setup()
+        address, _, port = endpoint.rpartition(':')
+        site = web.TCPSite(runner, address, int(port))
+        await site.start()
+        self._runners.append(runner)
+
+    async def _shut_down(self):
+        """Take no new work and wait for what is in progress."""
+        self._exchanges.is_closing = True
+        self._owner.drain()
+        await self._members.register_once()
+        limit = time.monotonic() + self._settings.shutdown_grace_s
+        while time.monotonic() < limit and self._is_busy():
+            await asyncio.sleep(SHUTDOWN_POLL_S)
+
+    def _is_busy(self):
+        return self._exchanges.count > 0 or self._owner.in_flight > 0
+
+    async def _close(self):
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._owner.close()
+        self._node.close()
+
+    def _describe(self):
+        settings = self._settings
+        announcement = self._owner.announcement
+        return _messages.Register(
+            name=settings.name,
+            incarnation=self._incarnation,
+            host=settings.host,
+            data_centre=settings.data_centre,
+            peers=settings.listeners.peers,
+            admin=settings.listeners.admin,
+            public_key=settings.security.key_pair.public.decode(),
+            service=announcement.service if announcement else '',
+            slots=announcement.slots if announcement else 0,
+            is_serving=self._owner.is_serving,
+        )
+
+    def _record_link_event(self, name, **fields):
+        self._log.record(
+            _LINK_EVENTS.get(name, _V.REQUEST_MALFORMED), **fields
+        )
--- a/libs/link/src/cactusloft_link/__init__.py
+++ b/libs/link/src/cactusloft_link/__init__.py
@@ -7,6 +7,7 @@
 from cactusloft_link._keys import AllowedKeys
 from cactusloft_link._keys import KeyPair
 from cactusloft_link._keys import make_key_pair
+from cactusloft_link._keys import Z85_KEY_CHARACTERS
 from cactusloft_link._node import Link
 from cactusloft_link._node import Node
 from cactusloft_link._node import PeerAddress
@@ -23,5 +24,6 @@
     'PeerAddress',
     'Stream',
     'StreamLost',
+    'Z85_KEY_CHARACTERS',
     'make_key_pair',
 ]
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -205,13 +205,14 @@
         self._socket = None
         self._monitor = None
         self._last_heard = 0.0
+        self._up = asyncio.Event()
         self._waiting_since = 0.0
         self._task = None
 
     @property
     def is_up(self):
         """Tell whether the peer answered on the present connection."""
-        return self._last_heard > 0
+        return self._up.is_set()
 
     def start(self):
         """Connect and keep the connection alive until closed."""
@@ -258,10 +259,12 @@
 
     async def wait_until_up(self, timeout_s):
         """Wait until the peer answered; return False when it did not."""
-        deadline = time.monotonic() + timeout_s
-        while not self.is_up and time.monotonic() < deadline:
-            await asyncio.sleep(0.01)
-        return self.is_up
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._up.wait()
+        except TimeoutError:
+            return False
+        return True
 
     async def _run(self):
         last_ping = 0.0
@@ -293,8 +296,9 @@
 
     def _reset(self):
         """Drop the connection with all that is queued, and connect anew."""
-        if self._last_heard:
+        if self.is_up:
             self._node.on_event('peer_lost', endpoint=self._address.endpoint)
+        self._up.clear()
         self._last_heard = 0.0
         self._waiting_since = time.monotonic()
         self._close_socket()
@@ -316,11 +320,12 @@
         frame = self._node.decode(parts)
         if frame is None:
             return
-        if not self._last_heard:
+        if not self.is_up:
             self._node.on_event(
                 'peer_connected', endpoint=self._address.endpoint
             )
         self._last_heard = time.monotonic()
+        self._up.set()
         if frame.type in (_T.REPLY, _T.ERROR):
             self._take_reply(frame)
         elif frame.type is not _T.PONG:
--- a/libs/link/src/cactusloft_link/_streams.py
+++ b/libs/link/src/cactusloft_link/_streams.py
@@ -65,6 +65,12 @@
         self._return_credit(len(frame.payload))
         return frame
 
+    async def wait_closed(self):
+        """Wait until the other end closed the stream or was lost."""
+        while not self._is_closed:
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+
     def close(self):
         """End the stream; the other end sees a reset if it is still open."""
         if self._is_closed:
--- a/libs/model/src/cactusloft_model/_events.py
+++ b/libs/model/src/cactusloft_model/_events.py
@@ -28,6 +28,7 @@
     CALL_RETRIED = 205
     CALL_CUT = 206
     REQUEST_MALFORMED = 210
+    INTERNAL_ERROR = 290
     BACKEND_SERVER_ANNOUNCED = 300
     BACKEND_SERVER_DRAINING = 301
     BACKEND_SERVER_LEFT = 302
@@ -77,7 +78,11 @@
         """Log ``event`` with its details."""
         stamp = self._clock.tick()
         self._records.append(Record(stamp, self._daemon, event, fields))
-        self._logger.info(event.name.lower(), event_id=int(event), **fields)
+        # Events of single calls are kept for the time line; writing each one
+        # out would cost more than the call's own bookkeeping.
+        is_call = Event.CALL_ACCEPTED <= event < Event.REQUEST_MALFORMED
+        log = self._logger.debug if is_call else self._logger.info
+        log(event.name.lower(), event_id=int(event), **fields)
 
     def list_records(self, since=clock.Stamp(0, 0)):
         """Return the kept records after ``since`` in order."""
--- a/libs/model/src/cactusloft_model/_ini.py
+++ b/libs/model/src/cactusloft_model/_ini.py
@@ -73,6 +73,10 @@
         """Note a fault at ``key``."""
         self._faults.append(Fault(self._name, key, message))
 
+    def list_keys(self):
+        """Return the names of all keys of the section."""
+        return tuple(self._values)
+
     def read_text(self, key, default=None):
         """Return the text of ``key``; without a default it is required."""
         self._seen.add(key)
--- a/libs/model/src/cactusloft_model/calls.py
+++ b/libs/model/src/cactusloft_model/calls.py
@@ -1,5 +1,6 @@
 """The context that travels with a call through the call graph."""
 
+from cactusloft_model._calls import CALL_ID_BYTES
 from cactusloft_model._calls import CallContext
 from cactusloft_model._calls import compute_fingerprint
 from cactusloft_model._calls import Fingerprint
@@ -7,6 +8,7 @@
 from cactusloft_model._calls import Priority
 
 __all__ = [
+    'CALL_ID_BYTES',
     'CallContext',
     'Fingerprint',
     'Priority',
