Add the fleet launcher and choose members by load

The launcher starts one process for each daemon and stand-in on addresses of its own, so that outgoing connections, which take ports of 127.0.0.1, cannot take a chosen port before its use. Processes are stopped by process id.

Daemons register with a sequence number and ask only for the services that they call. An answer to an older question emptied a service that was learned meanwhile; the view now replaces only the services asked for. Calls met links that were not connected yet and ended as no_backend_server; links to the subset are now made in advance and a call waits up to 0.25 s for one.

A backend server that came back after a lapse closed the connections of its own running calls. Deliveries to former processes now close when idle.

--- /dev/null
+++ b/bench/src/cactusloft_bench/_fleet.py
@@ -0,0 +1,201 @@
+"""Start, control and stop of a fleet of processes."""
+
+import asyncio
+import json
+import pathlib
+import shutil
+import socket
+import tempfile
+import time
+import urllib.request
+
+import aiohttp
+
+from cactusloft_bench import _hosts
+from cactusloft_bench import _processes
+from cactusloft_bench import _requests
+
+START_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+
+class Fleet:
+    """Daemons and stand-in servers as processes on loopback.
+
+    :param hosts: iterable of :class:`_hosts.Host`; at least one is a control
+        host.
+    :param document: text of the document.
+    :param log_level: log level of the daemons.
+    """
+
+    def __init__(self, hosts, document, log_level='info'):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='cactusloft-'))
+        self._document = document
+        self._log_level = log_level
+        self._placed = {
+            host.name: _hosts.place_host(host, number, self.folder)
+            for number, host in enumerate(hosts)
+        }
+        self._daemons = {}
+        self._stand_ins = {}
+
+    def __enter__(self):
+        try:
+            self._write_files()
+            for name in self._placed:
+                self.start_daemon(name)
+            for name in self._placed:
+                self.wait_for_daemon(name)
+            for name, placed in self._placed.items():
+                if placed.host.service:
+                    self.start_stand_in(name)
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_exc_info):
+        self.close()
+
+    def get_callers_url(self, name):
+        """Return the URL of a daemon's caller listener."""
+        return f'http://{self._placed[name].endpoints["callers"]}'
+
+    def get_endpoint(self, name, listener):
+        """Return ``IP:port`` of one listener of a daemon."""
+        return self._placed[name].endpoints[listener]
+
+    def get_daemon(self, name):
+        """Return the :class:`ManagedProcess` of a daemon."""
+        return self._daemons[name]
+
+    def get_stand_in(self, name):
+        """Return the :class:`ManagedProcess` of a stand-in server."""
+        return self._stand_ins[name]
+
+    def start_daemon(self, name):
+        """Start the daemon of a host, also after its end."""
+        command = self._placed[name].build_daemon_command()
+        self._daemons[name] = _processes.ManagedProcess(
+            f'{name}-daemon', command, self.folder
+        )
+
+    def start_stand_in(self, name):
+        """Start the stand-in server of a host, also after its end."""
+        command = self._placed[name].build_stand_in_command()
+        self._stand_ins[name] = _processes.ManagedProcess(
+            f'{name}-server', command, self.folder
+        )
+
+    def wait_for_daemon(self, name):
+        """Wait until a daemon accepts callers.
+
+        :raises FleetError: when it ends or does not listen in time.
+        """
+        address, _, port = self.get_endpoint(name, 'callers').rpartition(':')
+        limit = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < limit:
+            self._daemons[name].check_running()
+            try:
+                socket.create_connection((address, int(port)), 1).close()
+                return
+            except OSError:
+                time.sleep(POLL_S)
+        raise _processes.FleetError(f'{name} does not listen')
+
+    def wait_until_whole(self, request, names=None):
+        """Wait until a request gets its complete answer at daemons.
+
+        :param request: :class:`_requests.Request`; it must be safe to repeat.
+        :param names: entry daemons to ask, all by default.
+        :raises FleetError: when one does not answer in time.
+        """
+        names = list(self._placed) if names is None else names
+        asyncio.run(self._wait_until_whole(request, names))
+
+    def send(self, name, request):
+        """Send a request to a daemon once and return its ``Attempt``."""
+        return asyncio.run(self._send(name, request))
+
+    def fetch_records(self, name):
+        """Return the records of a stand-in server as a mapping."""
+        url = f'{self._get_stand_in_url(name)}/_stand_in/records'
+        with urllib.request.urlopen(url, timeout=10) as response:
+            return json.load(response)
+
+    def change_behaviour(self, name, **changes):
+        """Change fields of :class:`_behaviour.Behaviour` of a stand-in."""
+        self._command(name, 'PATCH', 'behaviour', changes)
+
+    def drain_stand_in(self, name):
+        """Let a stand-in server announce that it drains."""
+        self._command(name, 'POST', 'drain', {})
+
+    def read_log(self, name):
+        """Return the log lines of a daemon as mappings."""
+        text = (self.folder / f'{name}-daemon.log').read_text()
+        lines = (line for line in text.splitlines() if line.startswith('{'))
+        return [json.loads(line) for line in lines]
+
+    def close(self):
+        """Stop all processes and remove the folder."""
+        processes = [*self._stand_ins.values(), *self._daemons.values()]
+        for process in processes:
+            process.terminate()
+        failures = [name for name in map(_stop_quietly, processes) if name]
+        shutil.rmtree(self.folder, ignore_errors=True)
+        if failures:
+            raise _processes.FleetError(f'had to kill {failures}')
+
+    def _write_files(self):
+        document_path = self.folder / 'document.ini'
+        document_path.write_text(self._document)
+        keys = [p.key_pair.public.decode() for p in self._placed.values()]
+        (self.folder / 'allowed_keys').write_text('\n'.join(keys) + '\n')
+        control = [p for p in self._placed.values() if p.host.is_control]
+        for placed in self._placed.values():
+            _hosts.write_settings(
+                placed, control, document_path, self._log_level
+            )
+
+    async def _wait_until_whole(self, request, names):
+        limit = time.monotonic() + START_TIMEOUT_S
+        async with aiohttp.ClientSession() as session:
+            for name in names:
+                url = self.get_callers_url(name)
+                attempt = None
+                while attempt is None or not attempt.is_whole:
+                    if time.monotonic() > limit:
+                        raise _processes.FleetError(f'{name}: {attempt}')
+                    self._daemons[name].check_running()
+                    await asyncio.sleep(POLL_S if attempt else 0)
+                    attempt = await _requests.send_attempt(
+                        session, url, request
+                    )
+
+    async def _send(self, name, request):
+        async with aiohttp.ClientSession() as session:
+            url = self.get_callers_url(name)
+            return await _requests.send_attempt(session, url, request)
+
+    def _get_stand_in_url(self, name):
+        line = self._stand_ins[name].read_first_line(START_TIMEOUT_S)
+        return json.loads(line)['url']
+
+    def _command(self, name, method, path, fields):
+        request = urllib.request.Request(
+            f'{self._get_stand_in_url(name)}/_stand_in/{path}',
+            data=json.dumps(fields).encode(),
+            headers={'Content-Type': 'application/json'},
+            method=method,
+        )
+        urllib.request.urlopen(request, timeout=10).close()
+
+
+def _stop_quietly(process):
+    """Stop a process; return its name when it had to be killed."""
+    try:
+        process.stop()
+    except _processes.FleetError:
+        return process.name
+    return ''
--- a/bench/src/cactusloft_bench/backend_server.py
+++ b/bench/src/cactusloft_bench/backend_server.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import json
+import os
 import signal
 
 from cactusloft_bench._behaviour import Behaviour
@@ -54,7 +55,8 @@
 async def _serve(arguments):
     settings = ServerSettings(
         service=arguments.service,
-        instance=arguments.instance,
+        # A restarted process is another instance for the daemon.
+        instance=f'{arguments.instance}.{os.getpid()}',
         daemon_url=arguments.daemon_url,
         host=arguments.host,
         port=arguments.port,
--- a/daemon/src/cactusloftd/_backend.py
+++ b/daemon/src/cactusloftd/_backend.py
@@ -11,11 +11,11 @@
 import msgspec
 from returns import pipeline
 
+from cactusloft_membership import announcements
 from cactusloft_model import errors
 from cactusloftd import _calls
 from cactusloftd import _delivery
 from cactusloftd import _http
-from cactusloftd import _owner
 
 CALL_PREFIX = '/call/'
 MAX_ANNOUNCEMENT_BYTES = 16 * 1024
@@ -66,12 +66,14 @@
 
     async def _announce(self, request, body):
         try:
-            announcement = msgspec.json.decode(body, type=_owner.Announcement)
+            announcement = msgspec.json.decode(
+                body, type=announcements.Announcement
+            )
         except msgspec.DecodeError as error:
             failed = _calls.fail(_E.BAD_REQUEST, str(error))
             return await _refuse(request, failed)
         await self._owner.announce(announcement)
-        accepted = Accepted(int(_owner.LEASE_S * 1000))
+        accepted = Accepted(int(announcements.ANNOUNCEMENT_LEASE_S * 1000))
         return web.Response(
             body=msgspec.json.encode(accepted),
             content_type='application/json',
--- a/daemon/src/cactusloftd/_entry.py
+++ b/daemon/src/cactusloftd/_entry.py
@@ -11,7 +11,6 @@
 from cactusloft_model import errors
 from cactusloft_model import events
 from cactusloftd import _calls
-from cactusloftd import _peers
 
 # Owners tried for one call while each refuses with certainty that the call
 # did not run. More would add load where every owner is full.
@@ -158,6 +157,7 @@
 
         :returns: ``Success(Response)`` or ``Failure(CallError)``.
         """
+        await self._members.prepare(call.context.service)
         tried = set()
         outcome = _calls.fail(_E.NO_BACKEND_SERVER)
         for _ in range(MAX_OWNERS_TRIED):
@@ -181,8 +181,7 @@
             return self._name, self._owner
         member = self._members.choose(service, tried | {self._name})
         if member is not None:
-            link = self._members.connect(member)
-            return member.name, _peers.RemoteOwner(link, self._now)
+            return member.name, self._members.make_runner(member)
         if is_local and self._name not in tried:
             return self._name, self._owner
         return None, None
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -5,98 +5,172 @@
 import attrs
 
 import cactusloft_link as link
+from cactusloft_membership import choice
+from cactusloft_membership import registry
+from cactusloft_model import errors
 from cactusloftd import _messages
+from cactusloftd import _peers
 
 REGISTER_INTERVAL_S = 1.0
 REGISTER_TIMEOUT_S = 1.0
-LEASE_S = 3.0
+# The first call to a service waits this long for its members.
+FIRST_USE_WAIT_S = 1.0
+# Bounds the requests for members of a service that has none.
+ASK_INTERVAL_S = 0.2
+# A call waits this long for a link that is just being made.
+CONNECT_WAIT_S = 0.25
 
 
-class Registry:
-    """Registrations at a control host, as soft state with a lease.
+class RegistrationServer:
+    """Answer registrations at a control host.
 
+    :param held: :class:`registry.Registry`.
     :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, now):
+    def __init__(self, held, now):
+        self._held = held
         self._now = now
-        self._entries = {}
 
-    async def register(self, message, _age_s):
-        """Store a registration and return all live ones."""
-        self._entries[message.name] = (message, self._now() + LEASE_S)
-        return _messages.Registrations(tuple(self._list_live()))
-
-    def _list_live(self):
+    async def register(self, message, age_s):
+        """Take a registration and return the members that it asks for."""
+        lifetime_s = registry.REGISTRATION_LEASE_S - age_s
         now = self._now()
-        return (m for m, until in self._entries.values() if until > now)
+        self._held.expire(now)
+        self._held.register(message.registration, now, lifetime_s)
+        members = self._held.list_members(message.services, now)
+        return _messages.Registrations(tuple(members))
 
 
 class Members:
-    """This daemon's view of the fleet.
+    """This daemon's view of the members of the services that it uses.
 
     :param node: :class:`link.Node`.
     :param control_hosts: :class:`ControlHost` tuple of the settings.
-    :param describe: function that returns this daemon's ``Register``.
-    :param random: source of randomness for the choice.
+    :param describe: function that returns this daemon's ``Registration``.
+    :param view: :class:`choice.View`.
+    :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, node, control_hosts, describe, random):
+    def __init__(self, node, control_hosts, describe, view, now):
         self._node = node
         self._control_hosts = control_hosts
         self._describe = describe
-        self._random = random
-        self._members = {}
+        self._view = view
+        self._now = now
+        self._asking = None
+        self._asked_at = 0.0
 
     def list_members(self):
-        """Return all known registrations."""
-        return list(self._members.values())
+        """Return the registrations of the services in use."""
+        return self._view.list_members()
+
+    async def prepare(self, service):
+        """Ask for the members of ``service`` when none are known.
+
+        Calls that come meanwhile wait for the answer, at most
+        ``FIRST_USE_WAIT_S``.
+        """
+        now = self._now()
+        is_new = self._view.note_use(service, now)
+        if not is_new and self._view.find_chooser(service).members:
+            return
+        is_due = is_new or now - self._asked_at > ASK_INTERVAL_S
+        if self._asking is None and is_due:
+            self._asked_at = now
+            self._asking = asyncio.ensure_future(self.register_once())
+            self._asking.add_done_callback(self._note_asked)
+        if self._asking is not None:
+            await asyncio.wait([self._asking], timeout=FIRST_USE_WAIT_S)
+
+    def _note_asked(self, _task):
+        self._asking = None
 
     def choose(self, service, excluded):
         """Return a member that serves ``service``, or None.
 
         :param excluded: names of daemons that are not to be chosen.
         """
-        candidates = [
-            member
-            for member in self._members.values()
-            if member.service == service
-            and member.is_serving
-            and member.name not in excluded
-        ]
-        return self._random.choice(candidates) if candidates else None
-
-    def connect(self, member):
-        """Return the link to a member's daemon."""
+        chooser = self._view.find_chooser(service)
+        return chooser.choose(self._now(), excluded)
+
+    def make_runner(self, member):
+        """Return the :class:`_calls.Runner` that sends calls to a member."""
+        return _MemberRunner(
+            member,
+            self._connect(member),
+            self._view.find_chooser(member.service),
+            self._now,
+        )
+
+    def _connect(self, member):
         address = link.PeerAddress(member.peers, member.public_key)
         return self._node.connect(address)
 
-    async def run(self):
-        """Register with every control host, again and again."""
-        while True:
-            await self.register_once()
-            await asyncio.sleep(REGISTER_INTERVAL_S)
-
     async def register_once(self):
         """Register with every control host and merge their answers."""
-        description = self._describe()
+        services = self._view.list_services(self._now())
+        message = _messages.Register(self._describe(), tuple(services))
+        links = [self._node.connect(h.address) for h in self._control_hosts]
         replies = await asyncio.gather(
-            *(
-                self._node.connect(host.address).request(
-                    description, REGISTER_TIMEOUT_S
-                )
-                for host in self._control_hosts
-            )
+            *(peer.request(message, REGISTER_TIMEOUT_S) for peer in links)
         )
+        answers = [reply.value_or(None) for reply in replies]
+        if not any(answers):
+            # The last known members serve on while no control host answers.
+            return
         merged = {}
-        empty = _messages.Registrations(())
-        for reply in replies:
-            for member in reply.value_or(empty).members:
-                merged[member.name] = member
-        self._members = merged
-
-    def report_draining(self, daemon):
-        """Take note that ``daemon`` refused because it is not serving."""
-        member = self._members.get(daemon)
-        if member is not None:
-            self._members[daemon] = attrs.evolve(member, is_serving=False)
+        for answer in filter(None, answers):
+            for member in answer.members:
+                known = merged.get(member.name)
+                if known is None or known.position < member.position:
+                    merged[member.name] = member
+        self._view.update(services, merged.values(), self._now())
+        for member in self._view.list_members():
+            # Connecting takes longer than a call may wait for it.
+            self._connect(member)
+
+
+@attrs.frozen
+class _MemberRunner:
+    """Run calls on a member and keep count of those in flight."""
+
+    member: registry.Registration
+    peer: link.Link
+    chooser: choice.Chooser
+    now: object
+
+    async def run(self, call):
+        """Run ``call`` on the member.
+
+        :returns: ``Success(Response)`` or ``Failure(CallError)``.
+        """
+        name = self.member.name
+        self.chooser.begin(name)
+        is_kept = False
+        try:
+            await self.peer.wait_until_up(CONNECT_WAIT_S)
+            outcome = await _peers.RemoteOwner(self.peer, self.now).run(call)
+            response = outcome.value_or(None)
+            if response is not None:
+                self._finish_on_close(response)
+                is_kept = True
+            elif _is_not_serving(outcome.failure()):
+                self.chooser.avoid(name, self.now())
+            return outcome
+        finally:
+            if not is_kept:
+                self.chooser.finish(name)
+
+    def _finish_on_close(self, response):
+        close_inner = response.close
+
+        async def close():
+            self.chooser.finish(self.member.name)
+            await close_inner()
+
+        response.close = close
+
+
+def _is_not_serving(error):
+    return error.kind is errors.ErrorKind.NO_BACKEND_SERVER
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -6,6 +6,7 @@
 import attrs
 
 import cactusloft_link as link
+from cactusloft_membership import registry
 from cactusloft_model import calls
 from cactusloft_model import errors
 
@@ -72,27 +73,18 @@
 class Register:
     """A daemon's registration with a control host.
 
-    :ivar service: service of the backend server beside it, or empty.
-    :ivar is_serving: whether it takes new work.
+    :ivar services: services whose members the daemon asks for.
     """
 
-    name: str
-    incarnation: str
-    host: str
-    data_centre: str
-    peers: str
-    admin: str
-    public_key: str
-    service: str
-    slots: int
-    is_serving: bool
+    registration: registry.Registration
+    services: tuple[str, ...]
 
 
 @attrs.frozen
 class Registrations:
-    """All registrations that a control host knows."""
+    """Members of the services that were asked for."""
 
-    members: tuple[Register, ...]
+    members: tuple[registry.Registration, ...]
 
 
 CODEC = link.Codec(
--- a/daemon/src/cactusloftd/_owner.py
+++ b/daemon/src/cactusloftd/_owner.py
@@ -6,63 +6,45 @@
 
 import secrets
 
-import attrs
-
+from cactusloft_membership import announcements
 from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_model import events
 from cactusloftd import _calls
 from cactusloftd import _delivery
 
-LEASE_S = 3.0
 _E = errors.ErrorKind
 
 
-@attrs.frozen
-class Announcement:
-    """What a backend server says of itself.
-
-    :ivar instance: identity of the process, new after a restart.
-    :ivar url: base URL under which it takes calls.
-    :ivar slots: calls that it can run at once.
-    :ivar connections: connections that it accepts.
-    """
-
-    service: str
-    instance: str
-    url: str
-    slots: int
-    connections: int
-
-
 class Owner:
     """Admit calls to the backend server and deliver them.
 
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
+
+    ``on_change`` is called when the backend server came, drains or left.
     """
 
     def __init__(self, log, now):
         self._log = log
         self._now = now
-        self._announcement = None
+        self._server = announcements.LocalServer()
         self._delivery = None
-        self._lease_until = 0.0
-        self._is_draining = False
+        self._retired = []
         self._tokens = {}
         self._in_flight = 0
 
+        self.on_change = lambda: None
+
     @property
     def announcement(self):
-        """Return the live :class:`Announcement`, or None."""
-        if self._now() >= self._lease_until:
-            return None
-        return self._announcement
+        """Return the live :class:`announcements.Announcement`, or None."""
+        return self._server.find_announcement(self._now())
 
     @property
     def is_serving(self):
         """Tell whether new work is taken."""
-        return self.announcement is not None and not self._is_draining
+        return self._server.is_serving(self._now())
 
     @property
     def in_flight(self):
@@ -72,45 +54,72 @@
     @property
     def has_free_slot(self):
         """Tell whether a call would start at once."""
-        return self.is_serving and self._in_flight < self._announcement.slots
+        return self.is_serving and self._in_flight < self.announcement.slots
 
     async def announce(self, announcement):
         """Take a new announcement, or renew the lease of a known one."""
-        if announcement != self._announcement:
-            old = self._delivery
-            self._delivery = _delivery.Delivery(
-                announcement.url, announcement.connections, self._now
-            )
-            self._announcement = announcement
-            self._is_draining = False
+        self.expire()
+        if not self._server.announce(announcement, self._now()):
+            return
+        self._retire_delivery()
+        self._delivery = _delivery.Delivery(
+            announcement.url, announcement.connections, self._now
+        )
+        self._log.record(
+            events.Event.BACKEND_SERVER_ANNOUNCED,
+            service=announcement.service,
+            instance=announcement.instance,
+        )
+        self.on_change()
+        await self._close_retired()
+
+    def expire(self):
+        """Note the loss of a backend server that stayed silent."""
+        lost = self._server.expire(self._now())
+        if lost is not None:
             self._log.record(
-                events.Event.BACKEND_SERVER_ANNOUNCED,
-                service=announcement.service,
-                instance=announcement.instance,
+                events.Event.BACKEND_SERVER_LOST,
+                service=lost.service,
+                instance=lost.instance,
             )
-            if old is not None:
-                await old.close()
-        self._lease_until = self._now() + LEASE_S
 
     def drain(self):
         """Take no new work; calls in flight go on."""
-        if not self._is_draining:
-            self._is_draining = True
+        if self._server.drain(self._now()):
             self._log.record(events.Event.BACKEND_SERVER_DRAINING)
+            self.on_change()
 
     def leave(self):
         """Forget the backend server."""
-        self._lease_until = 0.0
-        self._log.record(events.Event.BACKEND_SERVER_LEFT)
+        if self._server.leave():
+            self._log.record(events.Event.BACKEND_SERVER_LEFT)
+            self.on_change()
 
     async def close(self):
         """Close the connections to the backend server."""
+        for delivery in (self._delivery, *self._retired):
+            if delivery is not None:
+                await delivery.close()
+
+    def _retire_delivery(self):
         if self._delivery is not None:
-            await self._delivery.close()
+            self._retired.append(self._delivery)
+
+    async def _close_retired(self):
+        """Close deliveries to former processes that have no call left.
+
+        A process that shuts down finishes its calls beside its successor.
+        """
+        used = {delivery for _, delivery in self._tokens.values()}
+        idle = [d for d in self._retired if d not in used]
+        self._retired = [d for d in self._retired if d in used]
+        for delivery in idle:
+            await delivery.close()
 
     def find_parent(self, token):
         """Return the context of the running call with ``token``, or None."""
-        return self._tokens.get(token)
+        context, _ = self._tokens.get(token, (None, None))
+        return context
 
     async def run(self, call):
         """Run ``call`` on the backend server.
@@ -119,16 +128,17 @@
         """
         if not self.is_serving:
             return _calls.fail(_E.NO_BACKEND_SERVER, 'not serving')
-        if self._announcement.service != call.context.service:
+        if self.announcement.service != call.context.service:
             return _calls.fail(_E.NO_BACKEND_SERVER, 'other service')
         if not self.has_free_slot:
             return _calls.fail(_E.OVERLOADED, 'all slots are taken')
         token = secrets.token_hex(calls.CALL_ID_BYTES)
-        self._tokens[token] = call.context
+        delivery = self._delivery
+        self._tokens[token] = call.context, delivery
         self._in_flight += 1
         is_kept = False
         try:
-            outcome = await self._delivery.send(call, token)
+            outcome = await delivery.send(call, token)
             if isinstance(outcome, _calls.result.Success):
                 is_kept = True
                 return outcome.map(lambda r: self._track(r, token))
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -1,15 +1,17 @@
 """A whole daemon: its parts, their start and their shutdown."""
 
 import asyncio
+import itertools
 import pathlib
 import random
-import secrets
 import time
 
 from aiohttp import web
 import structlog
 
 import cactusloft_link as link
+from cactusloft_membership import choice
+from cactusloft_membership import registry
 from cactusloft_model import clock
 from cactusloft_model import events
 from cactusloftd import _backend
@@ -40,7 +42,8 @@
 
     def __init__(self, settings):
         self._settings = settings
-        self._incarnation = secrets.token_hex(8)
+        self._incarnation = time.time_ns() // 10**6
+        self._sequence = itertools.count(1)
         now = time.monotonic
         hybrid_clock = clock.HybridClock(lambda: time.time_ns() // 10**6)
         self._log = events.EventLog(
@@ -55,10 +58,18 @@
         )
         self._node.on_event = self._record_link_event
         self._owner = _owner.Owner(self._log, now)
+        self._is_changed = asyncio.Event()
+        self._owner.on_change = self._is_changed.set
         self._members = _members.Members(
-            self._node, settings.control_hosts, self._describe, random.Random()
+            self._node,
+            settings.control_hosts,
+            self._describe,
+            choice.View(settings.name, settings.data_centre, random.Random()),
+            now,
+        )
+        self._registrations = _members.RegistrationServer(
+            registry.Registry(), now
         )
-        self._registry = _members.Registry(now)
         text = pathlib.Path(settings.document_file).read_text()
         self._entry = _entry.Entry(
             settings.name,
@@ -76,7 +87,7 @@
         """Serve until the event ``stop`` is set, then shut down."""
         await self._start()
         self._log.record(_V.DAEMON_STARTED, incarnation=self._incarnation)
-        register = asyncio.create_task(self._members.run())
+        register = asyncio.create_task(self._keep_registered())
         await stop.wait()
         self._log.record(_V.DAEMON_STOPPING)
         await self._shut_down()
@@ -87,7 +98,9 @@
     async def _start(self):
         listeners = self._settings.listeners
         self._node.handle_streams(_messages.CallStart, self._call_server.serve)
-        self._node.handle_requests(_messages.Register, self._registry.register)
+        self._node.handle_requests(
+            _messages.Register, self._registrations.register
+        )
         self._node.listen(listeners.peers)
         callers = _callers.Callers(self._entry, self._exchanges, self._log)
         backend = _backend.Backend(self._entry, self._owner, self._exchanges)
@@ -111,6 +124,17 @@
         while time.monotonic() < limit and self._is_busy():
             await asyncio.sleep(SHUTDOWN_POLL_S)
 
+    async def _keep_registered(self):
+        while True:
+            self._owner.expire()
+            self._is_changed.clear()
+            await self._members.register_once()
+            try:
+                async with asyncio.timeout(_members.REGISTER_INTERVAL_S):
+                    await self._is_changed.wait()
+            except TimeoutError:
+                continue
+
     def _is_busy(self):
         return self._exchanges.count > 0 or self._owner.in_flight > 0
 
@@ -123,15 +147,17 @@
     def _describe(self):
         settings = self._settings
         announcement = self._owner.announcement
-        return _messages.Register(
+        return registry.Registration(
             name=settings.name,
             incarnation=self._incarnation,
+            sequence=next(self._sequence),
             host=settings.host,
             data_centre=settings.data_centre,
             peers=settings.listeners.peers,
             admin=settings.listeners.admin,
             public_key=settings.security.key_pair.public.decode(),
             service=announcement.service if announcement else '',
+            instance=announcement.instance if announcement else '',
             slots=announcement.slots if announcement else 0,
             is_serving=self._owner.is_serving,
         )
--- a/libs/membership/src/cactusloft_membership/_choice.py
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -48,6 +48,11 @@
         self._states = {}
         self._members = ()
 
+    @property
+    def members(self):
+        """Return the members to choose from."""
+        return self._members
+
     def update(self, members, now):
         """Take the present subset.
 
--- a/libs/membership/src/cactusloft_membership/_view.py
+++ b/libs/membership/src/cactusloft_membership/_view.py
@@ -24,7 +24,6 @@
         self._random = random_source
         self._choosers = {}
         self._used_at = {}
-        self._members = {}
 
     def note_use(self, service, now):
         """Take note of a call to ``service``; return whether it is new."""
@@ -43,16 +42,18 @@
             del self._choosers[service]
         return sorted(self._used_at)
 
-    def update(self, members, now):
-        """Replace the members of the services in use.
+    def update(self, services, members, now):
+        """Replace the members of ``services``.
 
+        :param services: the services that were asked for. Those that came
+            into use meanwhile keep the members that they have.
         :param members: iterable of :class:`Registration`.
         """
-        self._members = {member.name: member for member in members}
-        for service in self.list_services(now):
+        members = list(members)
+        for service in set(services) & set(self._used_at):
             serving = [
                 member
-                for member in self._members.values()
+                for member in members
                 if member.service == service
                 and member.is_serving
                 and member.name != self._daemon
@@ -71,5 +72,9 @@
         return chooser
 
     def list_members(self):
-        """Return the members of the services in use."""
-        return list(self._members.values())
+        """Return the members in the subsets of the services in use."""
+        return [
+            member
+            for chooser in self._choosers.values()
+            for member in chooser.members
+        ]
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -257,7 +257,17 @@
     view = choice.View('entry', 'east', random.Random(7))
     assert view.note_use('maps', 0)
     assert not view.note_use('maps', 1)
-    view.update([make_member('m1'), make_member('entry')], 1)
+    members = [make_member('m1'), make_member('entry')]
+    view.update(['maps'], members, 1)
     assert view.find_chooser('maps').choose(1).name == 'm1'
     assert view.list_services(100) == ['maps']
     assert view.list_services(1000) == []
+
+
+def test_late_answer_keeps_services_that_it_does_not_cover():
+    """An answer to an older question would empty a service just learned."""
+    view = choice.View('entry', 'east', random.Random(7))
+    view.note_use('maps', 0)
+    view.update(['maps'], [make_member('m1')], 1)
+    view.update([], [], 2)
+    assert [member.name for member in view.list_members()] == ['m1']
