--- a/daemon/src/cactusloftd/_backend.py
+++ b/daemon/src/cactusloftd/_backend.py
@@ -13,9 +13,10 @@
 
 from cactusloft_model import errors
 from cactusloftd import _calls
-from cactusloftd import _delivery
+from cactusloftd import _headers
 from cactusloftd import _http
 from cactusloftd import _owner
+from cactusloftd import _problems
 
 CALL_PREFIX = '/call/'
 MAX_ANNOUNCEMENT_BYTES = 16 * 1024
@@ -58,10 +59,10 @@
                 return await self._serve_nested(request)
             action = self._actions.get(request.path)
             if action is None or request.method != 'POST':
-                return await _refuse(request, _calls.fail(_E.NOT_FOUND))
+                return _refuse(_calls.fail(_E.NOT_FOUND))
             body = await _http.read_body(request, MAX_ANNOUNCEMENT_BYTES)
             if not pipeline.is_successful(body):
-                return await _refuse(request, body)
+                return _refuse(body)
             return await action(request, body.unwrap())
 
     async def _announce(self, request, body):
@@ -69,7 +70,7 @@
             announcement = msgspec.json.decode(body, type=_owner.Announcement)
         except msgspec.DecodeError as error:
             failed = _calls.fail(_E.BAD_REQUEST, str(error))
-            return await _refuse(request, failed)
+            return _refuse(failed)
         await self._owner.announce(announcement)
         accepted = Accepted(int(_owner.LEASE_S * 1000))
         return web.Response(
@@ -82,7 +83,7 @@
             json.loads(body)
         except ValueError as error:
             failed = _calls.fail(_E.BAD_REQUEST, str(error))
-            return await _refuse(request, failed)
+            return _refuse(failed)
         return web.Response(status=204)
 
     async def _drain(self, _request, _body):
@@ -94,32 +95,32 @@
         return web.Response(status=204)
 
     async def _serve_nested(self, request):
-        token = request.headers.get(_delivery.TOKEN_HEADER, '')
+        token = request.headers.get(_headers.CALL_TOKEN, '')
         parent = self._owner.find_parent(token)
         if parent is None:
-            return await _refuse(request, _calls.fail(_E.BAD_CALL_TOKEN))
+            return _refuse(_calls.fail(_E.BAD_CALL_TOKEN))
         rest = request.raw_path.removeprefix(CALL_PREFIX)
         service, _, target = rest.partition('/')
         head = _http.read_head(request, '/' + target)
         if not pipeline.is_successful(head):
-            return await _refuse(request, head)
+            return _refuse(head)
         limit = _calls.MAX_NESTED_BODY_BYTES
         body = await _http.read_body(request, limit)
         if not pipeline.is_successful(body):
-            return await _refuse(request, body)
+            return _refuse(body)
         made = self._entry.make_nested_call(
             head.unwrap(), service, parent, body.unwrap()
         )
         if not pipeline.is_successful(made):
-            return await _refuse(request, made)
+            return _refuse(made)
         call = made.unwrap()
         outcome = await self._entry.dispatch(call)
         if not pipeline.is_successful(outcome):
-            return await _refuse(request, outcome, call.context.call_id)
+            return _refuse(outcome, call.context.call_id)
         return await _http.write_response(
             request, outcome.unwrap(), call.context.call_id
         )
 
 
-async def _refuse(request, failed, call_id=''):
-    return await _http.write_problem(request, failed.failure(), call_id)
+def _refuse(failed, call_id=''):
+    return _problems.make_problem(failed.failure(), call_id)
--- a/daemon/src/cactusloftd/_callers.py
+++ b/daemon/src/cactusloftd/_callers.py
@@ -6,6 +6,7 @@
 from cactusloft_model import events
 from cactusloftd import _calls
 from cactusloftd import _http
+from cactusloftd import _problems
 
 _E = errors.ErrorKind
 _V = events.Event
@@ -28,33 +29,33 @@
         """Answer one request."""
         with self._exchanges:
             if self._exchanges.is_closing:
-                return await self._refuse(request, _calls.fail(_SHUTDOWN))
+                return self._refuse(_calls.fail(_E.SHUTTING_DOWN))
             return await self._serve(request)
 
     async def _serve(self, request):
         head = _http.read_head(request, request.raw_path)
         if not pipeline.is_successful(head):
-            return await self._refuse(request, head)
+            return self._refuse(head)
         inbound = head.unwrap()
         authorised = self._entry.authorise(inbound)
         if not pipeline.is_successful(authorised):
-            return await self._refuse(request, authorised)
+            return self._refuse(authorised)
         route, account = authorised.unwrap()
         body = await _http.read_body(request, route.max_body_bytes)
         if not pipeline.is_successful(body):
-            return await self._refuse(request, body)
+            return self._refuse(body)
         made = self._entry.make_root_call(
             inbound, route, account, body.unwrap()
         )
         if not pipeline.is_successful(made):
-            return await self._refuse(request, made)
+            return self._refuse(made)
         call = made.unwrap()
         outcome = await self._entry.dispatch(call)
         return await self._answer(request, call.context, outcome)
 
     async def _answer(self, request, context, outcome):
         if not pipeline.is_successful(outcome):
-            return await self._refuse(request, outcome, context)
+            return self._refuse(outcome, context)
         response = outcome.unwrap()
         self._record(_V.CALL_ANSWERED, context, status=response.status)
         try:
@@ -65,7 +66,7 @@
             self._record(_V.CALL_CUT, context, detail=str(error))
             raise
 
-    async def _refuse(self, request, failed, context=None):
+    def _refuse(self, failed, context=None):
         error = failed.failure()
         call_id = ''
         if context is not None:
@@ -76,7 +77,7 @@
                 kind=error.kind.value,
                 not_run=error.answer.not_run.value,
             )
-        return await _http.write_problem(request, error, call_id)
+        return _problems.make_problem(error, call_id)
 
     def _record(self, event, context, **fields):
         self._log.record(
@@ -86,6 +87,3 @@
             client_account=context.client_account,
             **fields,
         )
-
-
-_SHUTDOWN = _E.SHUTTING_DOWN
--- a/daemon/src/cactusloftd/_delivery.py
+++ b/daemon/src/cactusloftd/_delivery.py
@@ -7,12 +7,7 @@
 
 from cactusloft_model import errors
 from cactusloftd import _calls
-
-TOKEN_HEADER = 'Cactusloft-Call-Token'
-DEADLINE_HEADER = 'Cactusloft-Deadline-Ms'
-ACCOUNT_HEADER = 'Cactusloft-Client-Account'
-CALL_ID_HEADER = 'Cactusloft-Call-Id'
-NOT_RUN_HEADER = 'Cactusloft-Not-Run'
+from cactusloftd import _headers
 
 # A body that stalls for this long is given up; the deadline of a call covers
 # the time to the head of the answer only, since downloads may be long.
@@ -22,19 +17,6 @@
 # one that the backend server is just closing.
 KEEPALIVE_S = 10.0
 CHUNK_BYTES = 64 * 1024
-_HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'content-length',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
 _SKIPPED = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
 _E = errors.ErrorKind
 
@@ -98,10 +80,10 @@
         context = call.context
         headers = [
             *call.headers,
-            (TOKEN_HEADER, token),
-            (CALL_ID_HEADER, context.call_id),
-            (ACCOUNT_HEADER, context.client_account),
-            (DEADLINE_HEADER, str(context.remaining_ms(self._now()))),
+            (_headers.CALL_TOKEN, token),
+            (_headers.CALL_ID, context.call_id),
+            (_headers.CLIENT_ACCOUNT, context.client_account),
+            (_headers.DEADLINE_MS, str(context.remaining_ms(self._now()))),
         ]
         return await self._session.request(
             call.method,
@@ -112,32 +94,15 @@
         )
 
 
-def select_headers(headers):
-    """Return the end-to-end headers among ``headers`` as pairs."""
-    # Headers that the connection header names are hop-by-hop as well.
-    named = {
-        token.strip().lower()
-        for name, value in headers.items()
-        if name.lower() == 'connection'
-        for token in value.split(',')
-    }
-    # The codec takes plain strings, not the library's subclass of them.
-    return tuple(
-        (str(name), value)
-        for name, value in headers.items()
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
-    )
-
-
 def _declares_not_run(response):
     return (
         response.status == 503
-        and response.headers.get(NOT_RUN_HEADER, '').lower() == 'true'
+        and response.headers.get(_headers.NOT_RUN, '').lower() == 'true'
     )
 
 
 async def _wrap(response):
-    headers = select_headers(response.headers)
+    headers = _headers.select_end_to_end(response.headers)
     length = response.content_length
     if length is not None and length <= _calls.SMALL_BODY_BYTES:
         try:
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -17,6 +17,7 @@
 from cactusloftd import _config
 from cactusloftd import _entry
 from cactusloftd import _http
+from cactusloftd import _http_server
 from cactusloftd import _members
 from cactusloftd import _messages
 from cactusloftd import _owner
@@ -95,7 +96,7 @@
         await self._listen(listeners.backend, backend.handle)
 
     async def _listen(self, endpoint, handler):
-        runner = web.ServerRunner(_http.make_server(handler, self._log))
+        runner = web.ServerRunner(_http_server.HttpServer(handler, self._log))
         await runner.setup()
         address, _, port = endpoint.rpartition(':')
         site = web.TCPSite(runner, address, int(port))
