Add the replicated log and the document store

Cause: operators' changes must survive the loss of any minority of hosts and must never be reverted. The protocol is a Raft variant with pre-vote. One mechanism, the start of the last heartbeat round that a majority acknowledged, serves as the leader quorum check and as the confirmation age. Followers get the confirmation with the heartbeat: the leader echoes a token of their last reply, so they compute it on their own clock.

Excluded: counting a candidate's own vote before it is synced, and sending a leader's first append of a group of one before that; both let a restart repeat a term.

--- /dev/null
+++ b/libs/consensus/src/cactusloft_consensus/_documents.py
@@ -0,0 +1,184 @@
+"""Replicated document store: versions, change ids and history.
+
+The store is a deterministic state machine. Every replica applies the same
+changes in the same order, so it takes no time and no randomness of its own.
+"""
+
+import collections
+import enum
+import hashlib
+import zlib
+
+import attrs
+import msgspec
+
+# Change ids remembered to answer a resend. A resend that comes after more
+# changes than this has an old base version and is refused by that.
+KEPT_OUTCOMES = 4096
+KEPT_REVISIONS = 1000
+KEPT_TEXTS = 10
+
+
+class OutcomeKind(enum.Enum):
+    """Result of a change."""
+
+    ACCEPTED = 'accepted'
+    CONFLICT = 'conflict'
+    CHANGE_ID_REUSED = 'change_id_reused'
+
+
+@attrs.frozen
+class Change:
+    """A change of the document as an operator asks for it.
+
+    :ivar base_version: version that the operator has seen.
+    :ivar change_id: identity of the change, the same in every resend.
+    :ivar wall_ms: wall clock of the proposer, for the history only.
+    :ivar packed_text: compressed text, see :meth:`pack`.
+    """
+
+    base_version: int
+    change_id: str
+    wall_ms: int
+    packed_text: bytes
+
+    @classmethod
+    def pack(cls, base_version, change_id, wall_ms, text):
+        """Return a change that sets the document to ``text``."""
+        packed = zlib.compress(text.encode())
+        return cls(base_version, change_id, wall_ms, packed)
+
+    def encode(self):
+        """Return the data of a log entry."""
+        return msgspec.msgpack.encode(self)
+
+
+@attrs.frozen
+class Outcome:
+    """Answer to a change.
+
+    :ivar version: version in force after the change was decided.
+    """
+
+    kind: OutcomeKind
+    version: int
+
+
+@attrs.frozen
+class Revision:
+    """One accepted version in the history.
+
+    :ivar digest: SHA-256 of the text in hexadecimal digits.
+    """
+
+    version: int
+    change_id: str
+    wall_ms: int
+    digest: str
+
+
+@attrs.frozen
+class _Remembered:
+    change_id: str
+    digest: str
+    outcome: Outcome
+
+
+@attrs.frozen
+class _State:
+    version: int
+    texts: tuple[tuple[int, bytes], ...]
+    revisions: tuple[Revision, ...]
+    remembered: tuple[_Remembered, ...]
+
+
+class DocumentStore:
+    """Document, history and answered change ids.
+
+    >>> store = DocumentStore()
+    >>> change = Change.pack(0, 'first', 0, 'text')
+    >>> store.apply(change.encode()).version, store.text
+    (1, 'text')
+    """
+
+    def __init__(self):
+        self.version = 0
+        self._texts = collections.OrderedDict()
+        self._revisions = collections.deque(maxlen=KEPT_REVISIONS)
+        self._remembered = collections.OrderedDict()
+
+    @property
+    def text(self):
+        """Return the document in force, empty before the first version."""
+        return self.find_text(self.version) or ''
+
+    def find_text(self, version):
+        """Return the text of a recent version, or None if it is not kept."""
+        packed = self._texts.get(version)
+        return None if packed is None else zlib.decompress(packed).decode()
+
+    def list_revisions(self):
+        """Return the kept history, oldest first."""
+        return tuple(self._revisions)
+
+    def apply(self, data):
+        """Decide on a change.
+
+        :param data: encoded :class:`Change`.
+        :returns: :class:`Outcome`; a resend gets the first one again.
+        """
+        change = msgspec.msgpack.decode(data, type=Change)
+        text = zlib.decompress(change.packed_text)
+        digest = hashlib.sha256(text).hexdigest()
+        earlier = self._remembered.get(change.change_id)
+        if earlier is not None and earlier.digest == digest:
+            return earlier.outcome
+        if earlier is not None:
+            return Outcome(OutcomeKind.CHANGE_ID_REUSED, self.version)
+        outcome = self._decide(change, digest)
+        self._remembered[change.change_id] = _Remembered(
+            change.change_id, digest, outcome
+        )
+        if len(self._remembered) > KEPT_OUTCOMES:
+            self._remembered.popitem(last=False)
+        return outcome
+
+    def _decide(self, change, digest):
+        if change.base_version != self.version:
+            return Outcome(OutcomeKind.CONFLICT, self.version)
+        self.version += 1
+        self._texts[self.version] = change.packed_text
+        if len(self._texts) > KEPT_TEXTS:
+            self._texts.popitem(last=False)
+        self._revisions.append(
+            Revision(self.version, change.change_id, change.wall_ms, digest)
+        )
+        return Outcome(OutcomeKind.ACCEPTED, self.version)
+
+    def save(self):
+        """Return the whole state as bytes."""
+        state = _State(
+            version=self.version,
+            texts=tuple(self._texts.items()),
+            revisions=tuple(self._revisions),
+            remembered=tuple(self._remembered.values()),
+        )
+        return msgspec.msgpack.encode(state)
+
+    def restore(self, data):
+        """Replace the state by one that :meth:`save` returned.
+
+        :param data: saved state; empty for a new group.
+        """
+        if not data:
+            self.__init__()
+            return
+        state = msgspec.msgpack.decode(data, type=_State)
+        self.version = state.version
+        self._texts = collections.OrderedDict(state.texts)
+        self._revisions = collections.deque(
+            state.revisions, maxlen=KEPT_REVISIONS
+        )
+        self._remembered = collections.OrderedDict(
+            (item.change_id, item) for item in state.remembered
+        )
--- /dev/null
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -0,0 +1,291 @@
+"""A node with storage, timers and a transport.
+
+One task ticks the node and one persists its records. Records that arrive
+during a sync are persisted together by the next one (group commit), in a
+thread of their own, so that a slow disk does not stop the event loop.
+"""
+
+import asyncio
+import concurrent.futures
+
+import attrs
+
+from returns import result
+
+from cactusloft_consensus import _applier
+from cactusloft_consensus import _messages
+from cactusloft_consensus import _node
+from cactusloft_model import errors
+
+TICK_S = 0.05
+
+
+@attrs.frozen
+class _Waiter:
+    term: int
+    future: asyncio.Future
+
+
+class Replica:
+    """Run one replica of a group.
+
+    :param node: :class:`Node` made from the state in ``storage``.
+    :param storage: :class:`Storage` of the data folder.
+    :param store: :class:`DocumentStore` that takes the committed changes.
+    :param send: function that sends an :class:`Envelope` without waiting.
+    :param read_clock: function that returns monotonic seconds.
+    :param on_change: function called after entries were applied.
+    :param on_failure: function called once with the reason when the replica
+        stops because of its disk.
+    """
+
+    def __init__(
+        self,
+        node,
+        storage,
+        store,
+        send,
+        read_clock,
+        on_change,
+        on_failure,
+        limits=_applier.Limits(),
+    ):
+        self.store = store
+        self.failure = ''
+        self._node = node
+        self._storage = storage
+        self._send = send
+        self._read_clock = read_clock
+        self._on_change = on_change
+        self._on_failure = on_failure
+        self._applier = _applier.Applier(node, store, limits)
+        self._waiters = {}
+        self._outputs = []
+        self._has_output = asyncio.Event()
+        self._thread = concurrent.futures.ThreadPoolExecutor(1)
+        self._tasks = []
+
+    @property
+    def replica_id(self):
+        """Return the random identity of the data folder."""
+        return self._node.replica_id
+
+    @property
+    def is_leader(self):
+        """Tell whether this replica leads and knows all committed entries."""
+        return not self.failure and self._node.is_ready
+
+    @property
+    def leader(self):
+        """Return the :class:`Member` that leads, or None."""
+        return self.find_member(self._node.leader_id)
+
+    @property
+    def members(self):
+        """Return the members of the group, empty before it is known."""
+        return self._node.log.members
+
+    @property
+    def role(self):
+        """Return the name of the current role."""
+        return 'failed' if self.failure else self._node.role
+
+    @property
+    def term(self):
+        """Return the current term."""
+        return self._node.term
+
+    @property
+    def commit(self):
+        """Return the highest committed index known here."""
+        return self._node.commit
+
+    @property
+    def confirmed_at(self):
+        """Return the time of the leader's confirmation, or None.
+
+        The store holds every change acknowledged before that time, in
+        monotonic seconds of this host.
+        """
+        return None if self.failure else self._node.confirmed_at
+
+    def find_member(self, replica_id):
+        """Return the :class:`Member` with this identity, or None."""
+        matching = (m for m in self.members if m.replica_id == replica_id)
+        return next(matching, None)
+
+    def list_matches(self):
+        """Return the synced index of each member, on the leader only."""
+        return self._node.list_matches()
+
+    def start(self):
+        """Start the tasks of the replica."""
+        self._step()
+        self._tasks = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self._persist()),
+        ]
+        for task in self._tasks:
+            task.add_done_callback(self._note_end)
+
+    async def close(self):
+        """Stop the tasks and release the data folder."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._thread.shutdown(wait=True)
+        self._fail_waiters('the replica stops')
+        self._storage.close()
+
+    def receive(self, envelope):
+        """Take a message from another replica."""
+        if self.failure:
+            return
+        try:
+            self._node.receive(envelope, self._read_clock())
+        except _node.ConsensusError as error:
+            self._fail(str(error))
+        self._step()
+
+    def bootstrap(self, address):
+        """Make this replica a group of one.
+
+        :returns: ``Success(None)`` or ``Failure(CallError)``.
+        """
+        if self.failure:
+            return _refuse(self.failure)
+        outcome = self._node.bootstrap(address)
+        self._step()
+        return outcome
+
+    async def apply(self, change, timeout_s):
+        """Replicate a change and wait until it is decided.
+
+        :param change: :class:`Change`.
+        :returns: ``Success(Outcome)``, or ``Failure(CallError)`` after which
+            the change may or may not have been made; the caller resends it
+            under the same change id.
+        """
+        if self.failure:
+            return _refuse(self.failure)
+        proposed = self._node.propose(change.encode(), self._read_clock())
+        return await self._wait_for(proposed, timeout_s)
+
+    async def add_member(self, replica_id, address, timeout_s):
+        """Add a learner; the leader promotes it once it has caught up."""
+        if self.find_member(replica_id) is not None:
+            return result.Success(None)
+        member = _messages.Member(replica_id, address, False)
+        return await self._change_members(self.members + (member,), timeout_s)
+
+    async def remove_member(self, replica_id, timeout_s):
+        """Remove a member."""
+        if self.find_member(replica_id) is None:
+            kind = errors.ErrorKind.NOT_FOUND
+            return result.Failure(errors.CallError(kind, 'no such replica'))
+        remaining = (m for m in self.members if m.replica_id != replica_id)
+        return await self._change_members(tuple(remaining), timeout_s)
+
+    async def _change_members(self, members, timeout_s):
+        if self.failure:
+            return _refuse(self.failure)
+        proposed = self._node.change_members(members, self._read_clock())
+        return await self._wait_for(proposed, timeout_s)
+
+    async def _wait_for(self, proposed, timeout_s):
+        if isinstance(proposed, result.Failure):
+            return proposed
+        entry = proposed.unwrap()
+        future = asyncio.get_running_loop().create_future()
+        self._waiters[entry.index] = _Waiter(entry.term, future)
+        self._step()
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            return _refuse('no majority acknowledged the change in time')
+        finally:
+            self._waiters.pop(entry.index, None)
+
+    def _step(self):
+        """Do what the node asks for after an input."""
+        if self.failure:
+            return
+        output = self._node.collect()
+        applied = self._applier.take(output)
+        for item in applied:
+            self._answer(item)
+        self._applier.compact()
+        for envelope in output.messages:
+            self._send(envelope)
+        self._queue(output)
+        if not self._node.is_leader:
+            self._fail_waiters('this replica lost the leadership')
+        if applied or output.snapshot is not None:
+            self._on_change()
+
+    def _queue(self, output):
+        """Hand records to the persisting task, replies behind them."""
+        if output.records or output.synced_messages:
+            self._outputs.append(output)
+            self._has_output.set()
+
+    def _answer(self, applied):
+        waiter = self._waiters.get(applied.entry.index)
+        if waiter is None or waiter.future.done():
+            return
+        if waiter.term == applied.entry.term:
+            waiter.future.set_result(result.Success(applied.outcome))
+        else:
+            refused = _refuse('another leader replaced the change')
+            waiter.future.set_result(refused)
+
+    def _fail_waiters(self, reason):
+        for waiter in self._waiters.values():
+            if not waiter.future.done():
+                waiter.future.set_result(_refuse(reason))
+
+    def _fail(self, reason):
+        self.failure = reason
+        self._fail_waiters(reason)
+        self._on_failure(reason)
+
+    def _note_end(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            self._fail(f'internal error: {task.exception()!r}')
+
+    async def _tick(self):
+        while True:
+            self._node.tick(self._read_clock())
+            self._step()
+            await asyncio.sleep(TICK_S)
+
+    async def _persist(self):
+        loop = asyncio.get_running_loop()
+        while not self.failure:
+            await self._has_output.wait()
+            self._has_output.clear()
+            outputs, self._outputs = self._outputs, []
+            records = [r for output in outputs for r in output.records]
+            try:
+                if records:
+                    await loop.run_in_executor(
+                        self._thread, self._storage.persist, records
+                    )
+            except OSError as error:
+                self._fail(f'the data folder cannot be written: {error}')
+                return
+            if outputs:
+                self._finish(outputs)
+
+    def _finish(self, outputs):
+        for output in outputs:
+            for envelope in output.synced_messages:
+                self._send(envelope)
+        sync_point = outputs[-1].sync_point
+        self._node.note_synced(sync_point, self._read_clock())
+        self._step()
+
+
+def _refuse(detail):
+    kind = errors.ErrorKind.CONTROL_UNAVAILABLE
+    return result.Failure(errors.CallError(kind, detail))
--- /dev/null
+++ b/libs/consensus/src/cactusloft_consensus/_storage.py
@@ -0,0 +1,212 @@
+"""Log file of a replica: one record for each group commit.
+
+The file begins with a record that holds the replica id and the whole state;
+each later record holds the changes of one group commit. A record is the magic
+bytes, the length and the CRC-32 of its payload, and the payload. Only the
+last group commit can be incomplete after a crash, so an unreadable record
+followed by a readable one is damage.
+"""
+
+import struct
+import zlib
+
+import attrs
+import msgspec
+
+from cactusloft_consensus import _messages
+from cactusloft_consensus import _node
+
+LOG_NAME = 'log'
+NEW_LOG_NAME = 'log.new'
+REPLICA_ID_BYTES = 16
+_MAGIC = b'\xc1CL1'
+_HEAD = struct.Struct('>4sII')
+_NO_VOTE = _messages.VoteRecord(0, '')
+
+
+class StorageError(Exception):
+    """The data folder cannot be used; the message says why."""
+
+
+@attrs.frozen
+class _Batch:
+    """Payload of one record.
+
+    :ivar sequence: one more than in the record before it.
+    """
+
+    sequence: int
+    replica_id: str
+    rewrite: _messages.Rewrite | None = None
+    vote: _messages.VoteRecord | None = None
+    entries: tuple[_messages.Entry, ...] = ()
+
+
+class Storage:
+    """Open log file of one replica.
+
+    :param files: :class:`Files` of the locked data folder.
+    :param replica_id: identity of the data folder.
+    :param sequence: sequence of the last record in the file.
+    """
+
+    def __init__(self, files, replica_id, sequence):
+        self._files = files
+        self._replica_id = replica_id
+        self._sequence = sequence
+        self._size = 0
+
+    def persist(self, records):
+        """Write and sync ``records`` as one group commit.
+
+        :raises OSError: if the disk is full or fails; the file must not be
+            used again before it is opened anew.
+        """
+        position = _find_last_rewrite(records)
+        if position is not None:
+            self._write_anew(records[position])
+            records = records[position + 1 :]
+        if not records:
+            return
+        votes = [r for r in records if isinstance(r, _messages.VoteRecord)]
+        batch = _Batch(
+            sequence=self._sequence + 1,
+            replica_id=self._replica_id,
+            vote=votes[-1] if votes else None,
+            entries=_join_entries(records),
+        )
+        self._files.append_synced(LOG_NAME, _encode(batch))
+        self._sequence += 1
+
+    def _write_anew(self, rewrite):
+        batch = _Batch(0, self._replica_id, rewrite=rewrite)
+        self._files.write_synced(NEW_LOG_NAME, _encode(batch))
+        self._files.rename_synced(NEW_LOG_NAME, LOG_NAME)
+        self._sequence = 0
+
+    def close(self):
+        """Release the data folder."""
+        self._files.close()
+
+
+def open_storage(files, random_bytes):
+    """Lock the data folder and read its state.
+
+    An empty folder gets a new random replica id. An incomplete last record
+    is cut off.
+
+    :param files: :class:`Files` of the data folder.
+    :param random_bytes: function that returns N random bytes.
+    :returns: tuple of :class:`Storage` and :class:`Persisted`.
+    :raises StorageError: if the folder is in use or the log is damaged.
+    """
+    try:
+        files.lock()
+    except BlockingIOError:
+        raise StorageError('the data folder is in use by another process')
+    content = files.read(LOG_NAME)
+    if content is None:
+        return _create(files, random_bytes(REPLICA_ID_BYTES).hex())
+    batches, good_size = _read_batches(content)
+    if good_size < len(content):
+        files.truncate_synced(LOG_NAME, good_size)
+    last = batches[-1]
+    storage = Storage(files, last.replica_id, last.sequence)
+    return storage, _replay(batches)
+
+
+def _create(files, replica_id):
+    storage = Storage(files, replica_id, 0)
+    rewrite = _messages.Rewrite(_NO_VOTE, _messages.EMPTY_SNAPSHOT, ())
+    storage.persist((rewrite,))
+    persisted = _node.Persisted(
+        replica_id, _NO_VOTE, _messages.EMPTY_SNAPSHOT, ()
+    )
+    return storage, persisted
+
+
+def _encode(batch):
+    payload = msgspec.msgpack.encode(batch)
+    head = _HEAD.pack(_MAGIC, len(payload), zlib.crc32(payload))
+    return head + payload
+
+
+def _decode(content, position):
+    """Return the batch at ``position`` and its end, or None."""
+    if position + _HEAD.size > len(content):
+        return None
+    magic, length, checksum = _HEAD.unpack_from(content, position)
+    start = position + _HEAD.size
+    payload = content[start : start + length]
+    if magic != _MAGIC or len(payload) < length:
+        return None
+    if zlib.crc32(payload) != checksum:
+        return None
+    return msgspec.msgpack.decode(payload, type=_Batch), start + length
+
+
+def _read_batches(content):
+    batches, position = [], 0
+    while position < len(content):
+        decoded = _decode(content, position)
+        if decoded is None:
+            _check_torn(content, position, batches)
+            break
+        batch, end = decoded
+        if batch.sequence != len(batches):
+            raise StorageError(
+                f'log damaged at byte {position}: record {batch.sequence} '
+                f'where record {len(batches)} belongs'
+            )
+        batches.append(batch)
+        position = end
+    if not batches or batches[0].rewrite is None:
+        raise StorageError('log damaged at byte 0: no first record')
+    return batches, position
+
+
+def _check_torn(content, position, batches):
+    """Raise unless the unreadable record at ``position`` is the last one."""
+    later = content.find(_MAGIC, position + 1)
+    while later >= 0:
+        if _decode(content, later) is not None:
+            raise StorageError(
+                f'log damaged at byte {position}: record {len(batches)} is '
+                f'unreadable, and a later one at byte {later} is not'
+            )
+        later = content.find(_MAGIC, later + 1)
+
+
+def _replay(batches):
+    first = batches[0].rewrite
+    vote, entries = first.vote, list(first.entries)
+    base = first.snapshot.index + 1
+    for batch in batches[1:]:
+        vote = batch.vote or vote
+        if batch.entries:
+            del entries[batch.entries[0].index - base :]
+            entries.extend(batch.entries)
+    return _node.Persisted(
+        batches[0].replica_id, vote, first.snapshot, tuple(entries)
+    )
+
+
+def _find_last_rewrite(records):
+    positions = (
+        position
+        for position in reversed(range(len(records)))
+        if isinstance(records[position], _messages.Rewrite)
+    )
+    return next(positions, None)
+
+
+def _join_entries(records):
+    """Return the entries that remain when each record replaces a tail."""
+    joined = []
+    for record in records:
+        if not isinstance(record, _messages.EntriesRecord):
+            continue
+        first = record.entries[0].index
+        joined = [entry for entry in joined if entry.index < first]
+        joined.extend(record.entries)
+    return tuple(joined)
--- /dev/null
+++ b/libs/consensus/src/cactusloft_consensus/node.py
@@ -0,0 +1,9 @@
+"""Consensus protocol of one replica, without I/O."""
+
+from cactusloft_consensus._node import ConsensusError
+from cactusloft_consensus._node import Node
+from cactusloft_consensus._node import Output
+from cactusloft_consensus._node import Persisted
+from cactusloft_consensus._node import Timing
+
+__all__ = ['ConsensusError', 'Node', 'Output', 'Persisted', 'Timing']
--- /dev/null
+++ b/libs/consensus/tests/conftest.py
@@ -0,0 +1,350 @@
+"""Simulated disks and groups for the tests of the replicated log."""
+
+import errno
+import random
+
+import attrs
+import pytest
+
+from cactusloft_consensus import documents
+from cactusloft_consensus import messages
+from cactusloft_consensus import node
+from cactusloft_consensus import replica
+from cactusloft_consensus import storage
+
+
+class PowerLoss(Exception):
+    """The simulated host loses power at a write boundary."""
+
+
+class FakeDisk:
+    """Files whose unsynced bytes may be lost.
+
+    :ivar boundaries_left: write boundaries until power is lost, or None.
+    """
+
+    def __init__(self, seed=0):
+        self.durable = {}
+        self.boundaries_left = None
+        self.is_full = False
+        self.is_locked = False
+        self._cached = {}
+        self._random = random.Random(seed)
+
+    def lock(self):
+        if self.is_locked:
+            raise BlockingIOError(errno.EAGAIN, 'locked')
+        self.is_locked = True
+
+    def read(self, name):
+        return self._cached.get(name)
+
+    def write_synced(self, name, content):
+        self._pass_boundary()
+        self._cached[name] = self._cut(content)
+        self._pass_boundary()
+        self.durable[name] = self._cached[name]
+
+    def append_synced(self, name, content):
+        self._pass_boundary()
+        self._cached[name] += self._cut(content)
+        self._pass_boundary()
+        self.durable[name] = self._cached[name]
+
+    def truncate_synced(self, name, size):
+        self._pass_boundary()
+        self._cached[name] = self._cached[name][:size]
+        self.durable[name] = self._cached[name]
+
+    def rename_synced(self, old, new):
+        self._pass_boundary()
+        self._cached[new] = self._cached.pop(old)
+        if self.boundaries_left == 0 and self._random.random() < 0.5:
+            self.durable[new] = self.durable[old]
+        self._pass_boundary()
+        self.durable[new] = self.durable.pop(old)
+
+    def close(self):
+        self.is_locked = False
+
+    def lose_power(self):
+        """Keep synced bytes and any part of those written since."""
+        for name, cached in self._cached.items():
+            synced = self.durable.get(name, b'')
+            if cached != synced and cached.startswith(synced):
+                size = self._random.randint(len(synced), len(cached))
+                self.durable[name] = cached[:size]
+        self._cached = dict(self.durable)
+        self.boundaries_left = None
+        self.is_locked = False
+
+    def _cut(self, content):
+        if self.is_full:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        return bytes(content)
+
+    def _pass_boundary(self):
+        if self.boundaries_left is None:
+            return
+        if self.boundaries_left == 0:
+            raise PowerLoss
+        self.boundaries_left -= 1
+
+
+@attrs.define(eq=False)
+class Host:
+    """A simulated host with one replica; ``node`` is None while it is down."""
+
+    address: str
+    disk: FakeDisk
+    node: object = None
+    storage: object = None
+    store: object = None
+    applier: object = None
+    outputs: list = attrs.field(factory=list)
+
+
+class Group:
+    """Replicas over an in-memory network with simulated time.
+
+    Every step checks that all replicas apply equal entries, and that a
+    confirmed replica holds every change acknowledged before its confirmation.
+    """
+
+    STEP_S = 0.02
+
+    def __init__(self, size, seed=1, limits=replica.Limits(entries=20)):
+        self.now = 1000.0
+        self.random = random.Random(seed)
+        self.hosts = {}
+        self.cut = set()
+        self.loss = 0.0
+        self.acknowledged = {}
+        self._limits = limits
+        self._waiting = {}
+        self._in_flight = []
+        self._committed = {}
+        for number in range(size):
+            self.add_host(f'host{number}')
+        first = self.hosts['host0']
+        first.node.bootstrap('host0').unwrap()
+        for address in list(self.hosts)[1:]:
+            self.join(address)
+
+    def add_host(self, address):
+        disk = FakeDisk(self.random.random())
+        self.hosts[address] = Host(address, disk)
+        self.restart(address)
+
+    def restart(self, address):
+        host = self.hosts[address]
+        host.storage, persisted = storage.open_storage(
+            host.disk, self.random.randbytes
+        )
+        host.node = node.Node(persisted, node.Timing(), self.random, self.now)
+        host.store = documents.DocumentStore()
+        host.applier = replica.Applier(host.node, host.store, self._limits)
+        host.outputs = []
+
+    def kill(self, address):
+        host = self.hosts[address]
+        if host.node is None:
+            return
+        if host.outputs:
+            host.disk.boundaries_left = self.random.randint(0, 3)
+            try:
+                self._sync(host)
+            except PowerLoss:
+                pass
+        host.node = None
+        host.disk.lose_power()
+
+    def lose_disk(self, address):
+        self.kill(address)
+        self.hosts[address].disk = FakeDisk(self.random.random())
+        self.restart(address)
+
+    def isolate(self, address):
+        others = [other for other in self.hosts if other != address]
+        self.cut |= {frozenset((address, other)) for other in others}
+
+    def find_leader(self):
+        leaders = [
+            host
+            for host in self.hosts.values()
+            if host.node is not None and host.node.is_ready
+        ]
+        return max(leaders, key=lambda host: host.node.term, default=None)
+
+    def join(self, address, is_promoted=True):
+        joining = self.hosts[address].node.replica_id
+        member = messages.Member(joining, address, False)
+        self.change_members(lambda members: members + (member,))
+        if is_promoted:
+            self.run_until(lambda: self._is_voter(joining))
+        return joining
+
+    def remove(self, replica_id):
+        self.change_members(
+            lambda members: tuple(
+                m for m in members if m.replica_id != replica_id
+            )
+        )
+
+    def change_members(self, make_members):
+        self.run_until(lambda: self._try_change(make_members))
+        leader = self.find_leader()
+        index = leader.node.log.members_index
+        self.run_until(lambda: leader.node.commit >= index)
+
+    def _try_change(self, make_members):
+        leader = self.find_leader()
+        if leader is None:
+            return False
+        members = make_members(leader.node.log.members)
+        changed = leader.node.change_members(members, self.now)
+        return changed.value_or(None) is not None
+
+    def _is_voter(self, replica_id):
+        leader = self.find_leader()
+        if leader is None:
+            return False
+        log = leader.node.log
+        return leader.node.commit >= log.members_index and any(
+            m.is_voter and m.replica_id == replica_id for m in log.members
+        )
+
+    def propose(self, base_version, change_id, text='text', address=None):
+        host = self.hosts[address] if address else self.find_leader()
+        if host is None or host.node is None:
+            return False
+        change = documents.Change.pack(base_version, change_id, 0, text)
+        entry = host.node.propose(change.encode(), self.now).value_or(None)
+        if entry is not None:
+            self._waiting[entry.index, entry.term, host.address] = change_id
+        return entry is not None
+
+    def apply(self, base_version, change_id, text='text'):
+        """Return the outcome, resending until the change is decided."""
+
+        def is_decided():
+            if change_id in self.acknowledged:
+                return True
+            if self.random.random() < 0.05:
+                self.propose(base_version, change_id, text)
+            return False
+
+        self.propose(base_version, change_id, text)
+        self.run_until(is_decided)
+        return self.acknowledged[change_id][0]
+
+    def run_until(self, is_done, limit_s=60.0):
+        end = self.now + limit_s
+        while not is_done():
+            assert self.now < end, 'condition not reached'
+            self.step()
+
+    def run_for(self, duration_s):
+        end = self.now + duration_s
+        while self.now < end:
+            self.step()
+
+    def step(self):
+        self.now += self.STEP_S
+        due = [item for item in self._in_flight if item[0] <= self.now]
+        self._in_flight = [i for i in self._in_flight if i[0] > self.now]
+        for _, envelope, address in due:
+            host = self.hosts[address]
+            if host.node is not None:
+                host.node.receive(envelope, self.now)
+                self._collect(host)
+        for host in self.hosts.values():
+            self._run(host)
+
+    def _run(self, host):
+        if host.node is None:
+            return
+        host.node.tick(self.now)
+        self._collect(host)
+        if host.outputs and self.random.random() < 0.7:
+            try:
+                self._sync(host)
+            except OSError:
+                host.node = None
+                return
+        self._collect(host)
+        self._check_confirmation(host)
+
+    def _collect(self, host):
+        output = host.node.collect()
+        for applied in host.applier.take(output):
+            self._note_applied(host, applied)
+        host.applier.compact()
+        self._transmit(host, output.messages)
+        if output.records or output.synced_messages:
+            host.outputs.append(output)
+
+    def _sync(self, host):
+        records = [r for output in host.outputs for r in output.records]
+        if records:
+            host.storage.persist(records)
+        for output in host.outputs:
+            self._transmit(host, output.synced_messages)
+        host.node.note_synced(host.outputs[-1].sync_point, self.now)
+        host.outputs = []
+
+    def _transmit(self, host, envelopes):
+        addresses = {
+            other.node.replica_id: other.address
+            for other in self.hosts.values()
+            if other.node is not None
+        }
+        for envelope in envelopes:
+            address = addresses.get(envelope.target)
+            link = frozenset((host.address, address))
+            if address is None or link in self.cut:
+                continue
+            if self.random.random() >= self.loss:
+                due = self.now + self.random.uniform(0.0, 0.05)
+                coded = messages.encode_message(envelope)
+                decoded = messages.decode_message(coded)
+                self._in_flight.append((due, decoded, address))
+
+    def _note_applied(self, host, applied):
+        entry = applied.entry
+        expected = self._committed.setdefault(entry.index, entry)
+        assert entry == expected, 'replicas applied different entries'
+        key = (entry.index, entry.term, host.address)
+        change_id = self._waiting.pop(key, None)
+        if change_id is None:
+            return
+        answer = (applied.outcome, self.now)
+        first = self.acknowledged.setdefault(change_id, answer)
+        assert first[0] == applied.outcome, 'a resend got another answer'
+
+    def _check_confirmation(self, host):
+        confirmed_at = host.node.confirmed_at
+        if confirmed_at is None:
+            return
+        assert confirmed_at <= self.now
+        acknowledged = (
+            outcome.version
+            for outcome, at in self.acknowledged.values()
+            if at <= confirmed_at
+        )
+        assert host.store.version >= max(acknowledged, default=0)
+
+
+@pytest.fixture
+def make_disk():
+    return FakeDisk
+
+
+@pytest.fixture
+def make_group():
+    return Group
+
+
+@pytest.fixture
+def power_loss():
+    return PowerLoss
--- /dev/null
+++ b/libs/consensus/tests/test_documents.py
@@ -0,0 +1,45 @@
+"""Tests of the document store."""
+
+from cactusloft_consensus import _documents
+from cactusloft_consensus import documents
+
+
+def _apply(store, base_version, change_id, text='text'):
+    change = documents.Change.pack(base_version, change_id, 7, text)
+    return store.apply(change.encode())
+
+
+def test_resend_gets_first_answer_after_restore():
+    """A resend after a restart must not apply a change twice."""
+    store = documents.DocumentStore()
+    first = _apply(store, 0, 'a')
+    _apply(store, 1, 'b', 'newer')
+    conflict = _apply(store, 1, 'c')
+    restored = documents.DocumentStore()
+    restored.restore(store.save())
+    assert _apply(restored, 0, 'a') == first
+    assert _apply(restored, 1, 'c') == conflict
+    assert (restored.version, restored.text) == (2, 'newer')
+    assert restored.list_revisions() == store.list_revisions()
+
+
+def test_change_id_of_other_text_is_refused():
+    """An operator must not take the answer to another change for theirs."""
+    store = documents.DocumentStore()
+    _apply(store, 0, 'a', 'text')
+    outcome = _apply(store, 1, 'a', 'other')
+    assert outcome.kind is documents.OutcomeKind.CHANGE_ID_REUSED
+    assert store.text == 'text'
+
+
+def test_memory_is_bounded():
+    """Change ids and texts must not grow without end."""
+    store = documents.DocumentStore()
+    for number in range(_documents.KEPT_OUTCOMES + 5):
+        _apply(store, number, f'change-{number}', f'text {number}')
+    last = store.version
+    assert len(store.list_revisions()) == _documents.KEPT_REVISIONS
+    assert store.find_text(last - _documents.KEPT_TEXTS) is None
+    assert store.find_text(last - 1) == f'text {last - 2}'
+    # A forgotten change id is refused by its old base version.
+    assert _apply(store, 0, 'change-0').kind is documents.OutcomeKind.CONFLICT
--- /dev/null
+++ b/libs/consensus/tests/test_group.py
@@ -0,0 +1,221 @@
+"""Tests of groups of replicas under faults."""
+
+import pytest
+
+from cactusloft_consensus import documents
+
+ACCEPTED = documents.OutcomeKind.ACCEPTED
+CONFLICT = documents.OutcomeKind.CONFLICT
+
+
+def _apply_many(group, count, prefix='change'):
+    first = group.find_leader().store.version
+    for number in range(first, first + count):
+        outcome = group.apply(number, f'{prefix}-{number}', f'text {number}')
+        assert outcome.kind is ACCEPTED
+
+
+def _has_all(group, version):
+    return all(
+        host.store.version == version
+        for host in group.hosts.values()
+        if host.node is not None
+    )
+
+
+def test_restart_of_all_after_300_changes(make_group):
+    """Restarts after many changes must not bring back an older version."""
+    group = make_group(3)
+    _apply_many(group, 300)
+    for address in group.hosts:
+        group.kill(address)
+    for address in group.hosts:
+        group.restart(address)
+    group.run_until(lambda: _has_all(group, 300))
+    assert group.find_leader().store.text == 'text 299'
+    assert group.apply(300, 'after').version == 301
+
+
+def test_equal_bases_and_resends(make_group):
+    """Racing operators must not overwrite each other, nor a resend act."""
+    group = make_group(3)
+    first = group.apply(0, 'one', 'text of one')
+    second = group.apply(0, 'two', 'text of two')
+    assert (first.kind, second.kind) == (ACCEPTED, CONFLICT)
+    _apply_many(group, 30)
+    group.kill(group.find_leader().address)
+    del group.acknowledged['one']
+    assert group.apply(0, 'one', 'text of one') == first
+    assert group.find_leader().store.version == 31
+
+
+def test_isolated_leader_stops_leading(make_group):
+    """A silently isolated leader must not confirm what others replaced."""
+    group = make_group(3)
+    _apply_many(group, 3)
+    leader = group.find_leader()
+    group.isolate(leader.address)
+    group.propose(3, 'lost', address=leader.address)
+    isolated_at = group.now
+    group.run_until(lambda: not leader.node.is_leader)
+    group.run_until(lambda: group.find_leader() is not None)
+    _apply_many(group, 25, 'majority')
+    group.run_for(60)
+    assert leader.node.confirmed_at <= isolated_at
+    assert leader.store.version == 3
+    term = group.find_leader().node.term
+    group.cut.clear()
+    group.run_until(lambda: leader.store.version == 28)
+    assert 'lost' not in group.acknowledged
+    assert group.find_leader().node.term == term, 'rejoining forced a term'
+
+
+def test_lost_disk_neither_votes_nor_counts(make_group):
+    """A vote of a replica without its log could lose committed changes."""
+    group = make_group(3)
+    _apply_many(group, 5)
+    leader = group.find_leader().address
+    lost, kept = [a for a in group.hosts if a != leader]
+    former = group.hosts[lost].node.replica_id
+    group.lose_disk(lost)
+    assert group.hosts[lost].node.replica_id != former
+    group.kill(leader)
+    group.run_for(20)
+    assert group.find_leader() is None
+    assert not group.hosts[kept].node.is_leader
+    group.restart(leader)
+    _await_version(group, 5)
+    _apply_many(group, 1)
+
+
+def _await_version(group, version):
+    group.run_until(
+        lambda: (
+            group.find_leader() is not None
+            and group.find_leader().store.version >= version
+        )
+    )
+
+
+def test_second_loss_right_after_repair(make_group):
+    """A repaired replica must hold all changes once it counts."""
+    group = make_group(3)
+    _apply_many(group, 50)
+    leader = group.find_leader().address
+    lost, kept = [a for a in group.hosts if a != leader]
+    former = group.hosts[lost].node.replica_id
+    group.lose_disk(lost)
+    group.remove(former)
+    group.join(lost)
+    group.lose_disk(kept)
+    _await_version(group, 50)
+    _apply_many(group, 1)
+    group.kill(leader)
+    group.run_for(10)
+    assert group.find_leader() is None, 'one of three voters cannot lead'
+    group.restart(leader)
+    _await_version(group, 51)
+
+
+def test_learner_counts_only_once_caught_up(make_group):
+    """Promoting an absent learner would cost the group its majority."""
+    group = make_group(2)
+    _apply_many(group, 3)
+    group.add_host('late')
+    group.isolate('late')
+    joining = group.join('late', is_promoted=False)
+    group.run_for(10)
+    members = group.find_leader().node.log.members
+    learner = next(m for m in members if m.replica_id == joining)
+    assert not learner.is_voter
+    _apply_many(group, 30)
+    group.cut.clear()
+    group.run_until(lambda: _has_all(group, 33))
+    group.run_until(lambda: group._is_voter(joining))
+
+
+def test_one_membership_change_at_a_time(make_group):
+    """Two overlapping changes could form two disjoint majorities."""
+    group = make_group(3)
+    leader = group.find_leader().node
+    members = leader.log.members
+    assert leader.change_members(members[:1], group.now).failure()
+    assert leader.change_members((), group.now).failure()
+    assert leader.change_members(members[:2], group.now).unwrap()
+    assert leader.change_members(members[:1], group.now).failure()
+
+
+def test_leader_removes_itself(make_group):
+    """A removed leader must hand over and must not disturb the group."""
+    group = make_group(3)
+    removed = group.find_leader()
+    group.remove(removed.node.replica_id)
+    group.run_until(lambda: not removed.node.is_leader)
+    group.run_until(lambda: group.find_leader() is not None)
+    term = group.find_leader().node.term
+    group.run_for(10)
+    assert group.find_leader().node.term == term
+    assert group.apply(0, 'after').kind is ACCEPTED
+
+
+def test_full_disk_stops_voting(make_group):
+    """A replica that cannot persist must not acknowledge."""
+    group = make_group(3)
+    leader = group.find_leader()
+    leader.disk.is_full = True
+    group.propose(0, 'unsynced', address=leader.address)
+    group.run_until(lambda: leader.node is None)
+    group.run_until(lambda: group.find_leader() is not None)
+    assert group.apply(0, 'unsynced').version == 1
+    leader.disk.is_full = False
+    leader.disk.lose_power()
+    group.restart(leader.address)
+    group.run_until(lambda: _has_all(group, 1))
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_random_schedule(make_group, seed):
+    """No schedule of faults may lose an acknowledged change or diverge."""
+    group = make_group(3 if seed % 2 else 5, seed=seed)
+    group.loss = 0.05
+    for number in range(150):
+        _disturb(group)
+        leader = group.find_leader()
+        base = leader.store.version if leader else 0
+        for _ in range(group.random.randint(0, 2)):
+            group.propose(base, f'{number}-{group.random.randint(0, 1)}')
+        group.run_for(group.random.uniform(0.0, 0.6))
+    _heal(group)
+    versions = [outcome.version for outcome, _ in group.acknowledged.values()]
+    _await_version(group, max(versions))
+    group.run_until(lambda: _has_all(group, group.find_leader().store.version))
+    accepted = [
+        o for o, _ in group.acknowledged.values() if o.kind is ACCEPTED
+    ]
+    assert len({outcome.version for outcome in accepted}) == len(accepted)
+    assert len(accepted) > 10
+
+
+def _disturb(group):
+    address = group.random.choice(list(group.hosts))
+    action = group.random.random()
+    if action < 0.12:
+        group.kill(address)
+    elif action < 0.2:
+        group.isolate(address)
+    elif action < 0.3:
+        group.cut.clear()
+    elif action < 0.55:
+        _restart_down(group)
+
+
+def _restart_down(group):
+    for host in group.hosts.values():
+        if host.node is None:
+            group.restart(host.address)
+
+
+def _heal(group):
+    group.cut.clear()
+    group.loss = 0.0
+    _restart_down(group)
