Add admission control of the owner

The queue orders calls by class, nested before root calls, then by fair share of slot seconds. Eviction takes the reverse order, so that no class is refused while a lower one stays queued. The limit compares each kind of call with itself and ignores quick failures. Crash suspects run alone and take turns with ordinary calls.

Contract tests run in simulated time; no real process is involved yet.

--- /dev/null
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -0,0 +1,234 @@
+"""Admission at the owner: the one place that starts work on a backend server.
+
+The owner asks with ``offer``, ``finish`` and ``cancel`` and carries out the
+decisions that come back. A call for which no decision came is queued.
+"""
+
+from cactusloft_admission import _alone
+from cactusloft_admission import _expected
+from cactusloft_admission import _limit
+from cactusloft_admission import _load
+from cactusloft_admission import _meter
+from cactusloft_admission import _queue
+from cactusloft_admission import _steps
+from cactusloft_admission import _tickets
+
+QUEUE_PER_SLOT = 2
+SHORTEST_QUEUE = 8
+# Longer than a burst that a healthy backend server works off.
+SUSTAINED_S = 0.2
+
+
+class Admission:
+    """Decide which call runs, waits or is refused on one backend server.
+
+    :param slots: announced slots.
+    :param read_clock: function that returns monotonic seconds.
+    :param policy: :class:`AdmissionPolicy`.
+    :param ramp_s: seconds of the cold start, 0 for a warm backend server.
+    :param limit_settings: :class:`LimitSettings`.
+    """
+
+    def __init__(
+        self,
+        slots,
+        read_clock,
+        policy=None,
+        ramp_s=_load.RAMP_S,
+        limit_settings=None,
+    ):
+        now = read_clock()
+        self._policy = policy or _tickets.AdmissionPolicy()
+        self._read_clock = read_clock
+        self._slots = slots
+        self._limit = _limit.ConcurrencyLimit(slots, now, limit_settings)
+        self._ramp = _load.ColdStartRamp(now, ramp_s)
+        self._reports = _load.LoadReports(slots)
+        self._queue = _queue.CallQueue(self._policy)
+        self._alone = _alone.AloneLine()
+        self._times = _expected.ServiceTimes()
+        self._meter = _meter.PressureMeter(now)
+        self._in_flight = 0
+        self._queue_empty_at = now
+
+    @property
+    def in_flight(self):
+        """Return the number of started calls that have not ended."""
+        return self._in_flight
+
+    @property
+    def queued(self):
+        """Return the number of calls that wait."""
+        return len(self._queue) + len(self._alone)
+
+    @property
+    def misleading_reports(self):
+        """Return how many load reports contradicted the owner's count."""
+        return self._reports.misleading
+
+    def compute_limit(self):
+        """Return how many calls may be in flight now."""
+        now = self._read_clock()
+        cap = self._reports.compute_cap(now)
+        cap = max(1, int(cap * self._ramp.compute_share(now)))
+        if not self._policy.adaptive_limit:
+            return cap
+        return min(cap, self._limit.value)
+
+    def read_pressure(self):
+        """Return the :class:`Pressure` to report with a response."""
+        now = self._read_clock()
+        return self._meter.read(now, len(self._queue), self._slots)
+
+    def set_slots(self, slots):
+        """Take over the slots of a renewed announcement."""
+        self._slots = slots
+        self._limit.set_slots(slots)
+        self._reports.set_slots(slots)
+
+    def receive_load(self, in_flight, slots):
+        """Judge a load report of the backend server.
+
+        :param slots: slots that it claims to have, or None.
+        """
+        report = _load.LoadReport(in_flight, slots, self._read_clock())
+        self._reports.receive(report, self._in_flight)
+
+    def offer(self, ticket):
+        """Take in a call.
+
+        :returns: list of :class:`Decision`, on this call or on others.
+        """
+        ticket.queued_at = self._read_clock()
+        self._meter.note_offer(ticket.priority)
+        if ticket.alone:
+            if self._alone.is_full:
+                return [self._shed(ticket, _tickets.Verdict.EVICTED)]
+            self._alone.push(ticket)
+            return self.advance()
+        if not self._queue:
+            self._queue_empty_at = ticket.queued_at
+        self._queue.push(ticket)
+        decisions = self.advance()
+        if len(self._queue) > self._queue_capacity():
+            decisions.extend(self.drop_late())
+        if len(self._queue) > self._queue_capacity():
+            evicted = self._queue.evict()
+            decisions.append(self._shed(evicted, _tickets.Verdict.EVICTED))
+        return decisions
+
+    def finish(self, ticket, outcome):
+        """Take note that a started call ended.
+
+        :param outcome: :class:`Outcome`.
+        :returns: list of :class:`Decision` on calls that waited.
+        """
+        now = self._read_clock()
+        used_s = now - ticket.started_at
+        in_flight = self._in_flight
+        self._in_flight -= 1
+        if ticket.alone:
+            self._alone.finish(ticket, now)
+        else:
+            self._queue.settle(ticket, used_s)
+        if outcome is _tickets.Outcome.SUCCESS:
+            self._times.add(ticket.kind, used_s, now)
+        self._limit.observe(ticket.kind, used_s, outcome, in_flight, now)
+        return self.advance()
+
+    def cancel(self, ticket):
+        """Take out a call that its caller abandoned before it started.
+
+        :returns: list of :class:`Decision` on calls that waited behind it.
+        """
+        self._queue.remove(ticket)
+        self._alone.remove(ticket)
+        return self.advance()
+
+    def advance(self):
+        """Start the calls whose turn has come.
+
+        :returns: list of :class:`Decision`.
+        """
+        decisions = []
+        if self._is_claimed():
+            decisions.extend(self._start_alone())
+        ordered = self._queue.take_ordered(self._is_newest_first)
+        judged = _steps.judge_deadlines(
+            ordered,
+            self._read_clock,
+            self._expect_service_s,
+            self._policy.deadline_drop,
+        )
+        applied = map(self._apply, judged)
+        decisions.extend(_steps.fill_slots(applied, self._has_room))
+        self._meter.note_queue(len(self._queue))
+        return decisions
+
+    def drop_late(self):
+        """Drop queued calls that cannot meet their deadline any more.
+
+        :returns: list of :class:`Decision`.
+        """
+        judged = _steps.judge_deadlines(
+            list(self._queue),
+            self._read_clock,
+            self._expect_service_s,
+            self._policy.deadline_drop,
+        )
+        late = [
+            decision
+            for decision in judged
+            if decision.verdict is _tickets.Verdict.EXPIRED
+        ]
+        for decision in late:
+            self._queue.remove(decision.ticket)
+            self._meter.note_shed()
+        return late
+
+    def _is_claimed(self):
+        now = self._read_clock()
+        return self._alone.claims_server(bool(self._queue), now)
+
+    def _queue_capacity(self):
+        return max(SHORTEST_QUEUE, QUEUE_PER_SLOT * self._slots)
+
+    def _expect_service_s(self, kind):
+        return self._times.read(kind, self._read_clock())
+
+    def _has_room(self):
+        if self._is_claimed():
+            return False
+        return self._in_flight < self.compute_limit()
+
+    def _is_newest_first(self):
+        if not self._policy.newest_first:
+            return False
+        return self._read_clock() - self._queue_empty_at > SUSTAINED_S
+
+    def _start_alone(self):
+        while len(self._alone) and not self._in_flight:
+            ticket = self._alone.take()
+            now = self._read_clock()
+            if now > ticket.deadline:
+                self._alone.finish(ticket, now)
+                yield self._shed(ticket, _tickets.Verdict.EXPIRED)
+                continue
+            self._begin(ticket, now)
+            yield _tickets.Decision(ticket, _tickets.Verdict.STARTED)
+
+    def _apply(self, decision):
+        ticket = decision.ticket
+        if decision.verdict is _tickets.Verdict.EXPIRED:
+            return self._shed(ticket, decision.verdict)
+        self._queue.charge_start(ticket)
+        self._begin(ticket, self._read_clock())
+        return decision
+
+    def _begin(self, ticket, now):
+        ticket.started_at = now
+        self._in_flight += 1
+
+    def _shed(self, ticket, verdict):
+        self._meter.note_shed()
+        return _tickets.Decision(ticket, verdict)
--- /dev/null
+++ b/libs/admission/tests/test_pressure.py
@@ -0,0 +1,68 @@
+"""Tests of pressure reports and early refusal at the entry."""
+
+import collections
+import random
+
+import pytest
+
+from cactusloft_admission import pressure
+from cactusloft_model import calls
+
+
+@pytest.mark.parametrize(
+    ('level', 'refused'),
+    [(0.0, []), (1.0, ['LOW']), (3.0, ['LOW', 'NORMAL', 'HIGH'])],
+)
+def test_classes_below_the_lowest_admitted_are_refused(level, refused):
+    """Guards against early refusal of a class that has room."""
+    early = pressure.EarlyRefusal(random.Random(1).random)
+    report = pressure.Pressure.from_level(level)
+    found = [
+        priority.name
+        for priority in calls.Priority
+        if early.is_refused('s', priority, 'a', 1.0, report, 0.0)
+    ]
+    assert found == refused
+
+
+def test_early_refusal_spares_accounts_within_their_share():
+    """Guards against a random cut that harms the quiet accounts."""
+    source = random.Random(7)
+    early = pressure.EarlyRefusal(source.random)
+    report = pressure.Pressure(calls.Priority.NORMAL, 0.4)
+    offered, kept = collections.Counter(), collections.Counter()
+    for step in range(6000):
+        name = source.choice(['hog'] * 8 + ['a', 'b'])
+        offered[name] += 1
+        refused = early.is_refused(
+            's', calls.Priority.NORMAL, name, 1.0, report, step * 0.001
+        )
+        kept[name] += not refused
+    assert kept['a'] >= 0.95 * offered['a']
+    assert kept['b'] >= 0.95 * offered['b']
+    assert 0.3 < sum(kept.values()) / 6000 < 0.5
+
+
+def test_pressure_of_a_deep_service_travels_up():
+    """Guards against work at the top that is shed at the bottom."""
+    table = pressure.PressureTable()
+    used = pressure.Dependencies()
+    for number in range(100):
+        used.note_call('book')
+        used.note_nested('book', 'permits', 'check')
+        if number % 10 == 0:
+            used.note_nested('book', 'maps', 'draw')
+    strong = pressure.Pressure.from_level(2.5)
+    table.receive('permits', 'check', 'd1', strong, 0.0)
+    table.receive('maps', 'draw', 'd1', pressure.Pressure.from_level(3.5), 0.0)
+    calm = pressure.NO_PRESSURE
+    assert used.combine('book', calm, table, 0.1) == strong
+    assert used.combine('other', calm, table, 0.1) == calm
+
+
+def test_pressure_fades_without_responses():
+    """Guards against a service that is refused for ever once pressed."""
+    table = pressure.PressureTable()
+    table.receive('s', 'k', 'd1', pressure.Pressure.from_level(3.0), 0.0)
+    levels = [table.read('s', 'k', now).level for now in (0.1, 1.0, 2.0)]
+    assert levels == [3.0, 1.5, 0.0]
