--- /dev/null
+++ b/libs/retry/src/cactusloft_retry/_budget.py
@@ -0,0 +1,69 @@
+"""Retry budget of a service: a share of its recent successes."""
+
+import collections
+
+import attrs
+
+from cactusloft_model import errors
+
+WINDOW_S = 10.0
+BUCKET_S = 1.0
+# Without it a service with few calls could never retry at all.
+RESERVE = 1
+
+
+@attrs.define
+class _Bucket:
+    started_at: float
+    successes: int = 0
+    retries: int = 0
+
+
+class RetryBudget:
+    """Successes and retries of one service over the last seconds.
+
+    :param share: retries allowed as a share of recent successes.
+    :param read_clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, share, read_clock):
+        self.share = share
+        self._read_clock = read_clock
+        self._buckets = collections.deque()
+
+    def note_success(self):
+        """Take note of a call that succeeded."""
+        self._current().successes += 1
+
+    def has_room(self):
+        """Tell whether a retry is within the budget."""
+        self._current()
+        successes = sum(bucket.successes for bucket in self._buckets)
+        retries = sum(bucket.retries for bucket in self._buckets)
+        return retries < RESERVE + int(self.share * successes)
+
+    def spend(self):
+        """Take note of a retry."""
+        self._current().retries += 1
+
+    def _current(self):
+        now = self._read_clock()
+        buckets = self._buckets
+        while buckets and now - buckets[0].started_at > WINDOW_S:
+            buckets.popleft()
+        if not buckets or now - buckets[-1].started_at >= BUCKET_S:
+            buckets.append(_Bucket(now))
+        return buckets[-1]
+
+
+def may_resend(idempotent, not_run):
+    """Tell whether a failed attempt may be followed by another.
+
+    :param not_run: :class:`errors.NotRun` claim about the failed attempt.
+
+    >>> may_resend(False, errors.NotRun.UNKNOWN)
+    False
+    >>> may_resend(False, errors.NotRun.TRUE)
+    True
+    """
+    return idempotent or not_run is errors.NotRun.TRUE
--- /dev/null
+++ b/libs/retry/tests/test_allowances.py
@@ -0,0 +1,118 @@
+"""Tests of the retry allowance over a whole chain of calls."""
+
+import itertools
+import random
+
+import pytest
+
+from cactusloft_model import errors
+from cactusloft_retry import allowances
+from cactusloft_retry import budgets
+
+DEPTH = 7
+
+
+class FailingChain:
+    """A chain of services whose backend servers repeat what fails."""
+
+    def __init__(self, fan_out, credits, fails):
+        self._fan_out = fan_out
+        self._fails = fails
+        self._numbers = itertools.count()
+        self._requests = allowances.NestedRequests()
+        self._roots = allowances.RootAllowances(lambda: 0.0)
+        self._roots.open('root', credits, 10.0)
+        self.executions = [0] * DEPTH
+        self.first_calls = [0] * DEPTH
+
+    def run(self, level=0):
+        """Run one call and return whether it succeeded."""
+        self.executions[level] += 1
+        call_id = f'call-{next(self._numbers)}'
+        good = True
+        if level + 1 < DEPTH:
+            good = all(
+                [
+                    self._call_nested(call_id, level + 1, f'/{number}')
+                    for number in range(self._fan_out)
+                ]
+            )
+        self._requests.forget(call_id)
+        return good and not self._fails(level)
+
+    def _call_nested(self, parent, level, path):
+        self.first_calls[level] += 1
+        digest = allowances.digest_request(f's{level}', 'GET', path, b'')
+        for _ in range(4):
+            is_repeat = self._requests.note(parent, digest)
+            if is_repeat and not self._roots.take('root'):
+                return False
+            if self.run(level):
+                return True
+        return False
+
+
+@pytest.mark.parametrize('fan_out', [1, 2, 3])
+@pytest.mark.parametrize('credits', [0, 1, 3])
+def test_retries_do_not_multiply_when_every_level_fails(fan_out, credits):
+    """Guards against 4**7 executions of one request at the deepest service."""
+    chain = FailingChain(fan_out, credits, lambda level: True)
+    chain.run()
+    calls = fan_out ** (DEPTH - 1)
+    assert chain.executions[-1] <= calls + credits
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_each_credit_repeats_one_call(seed):
+    """Guards against a repeat anywhere in the chain without a credit."""
+    source = random.Random(seed)
+    chain = FailingChain(2, 3, lambda level: source.random() < 0.3)
+    chain.run()
+    repeats = sum(chain.executions[1:]) - sum(chain.first_calls[1:])
+    assert repeats <= 3
+    # A credit spent in the middle repeats the calls below it once.
+    assert chain.executions[-1] <= 4 * 2 ** (DEPTH - 1)
+
+
+@pytest.mark.parametrize(
+    ('opened', 'closed', 'now', 'given'),
+    [
+        (True, False, 1.0, True),
+        (False, False, 1.0, False),
+        (True, True, 1.0, False),
+        (True, False, 11.0, False),
+    ],
+)
+def test_credit_needs_a_live_root_call(opened, closed, now, given):
+    """Guards against retries on behalf of a caller that has left."""
+    roots = allowances.RootAllowances(lambda: now)
+    if opened:
+        roots.open('root', 1, 10.0)
+    if closed:
+        roots.close('root')
+    assert roots.take('root') is given
+    assert roots.take('root') is False
+
+
+def test_budget_is_a_share_of_recent_successes():
+    """Guards against a failing service that is retried at full rate."""
+    now = [0.0]
+    budget = budgets.RetryBudget(0.1, lambda: now[0])
+    for _ in range(100):
+        budget.note_success()
+    spent = 0
+    while budget.has_room():
+        budget.spend()
+        spent += 1
+    assert spent == 10 + 1
+    now[0] = 12.0
+    assert budget.has_room()
+    budget.spend()
+    assert not budget.has_room()
+
+
+@pytest.mark.parametrize('not_run', list(errors.NotRun))
+def test_non_idempotent_call_is_resent_only_when_not_run(not_run):
+    """Guards against a booking that runs twice."""
+    is_certain = not_run is errors.NotRun.TRUE
+    assert budgets.may_resend(False, not_run) is is_certain
