--- a/libs/consensus/tests/conftest.py
+++ b/libs/consensus/tests/conftest.py
@@ -119,6 +119,8 @@
         self.hosts = {}
         self.cut = set()
         self.loss = 0.0
+        self.delay_s = 0.05
+        self.sync_chance = 0.7
         self.acknowledged = {}
         self._limits = limits
         self._waiting = {}
@@ -266,7 +268,7 @@
             return
         host.node.tick(self.now)
         self._collect(host)
-        if host.outputs and self.random.random() < 0.7:
+        if host.outputs and self.random.random() < self.sync_chance:
             try:
                 self._sync(host)
             except OSError:
@@ -305,7 +307,7 @@
             if address is None or link in self.cut:
                 continue
             if self.random.random() >= self.loss:
-                due = self.now + self.random.uniform(0.0, 0.05)
+                due = self.now + self.random.uniform(0.0, self.delay_s)
                 coded = messages.encode_message(envelope)
                 decoded = messages.decode_message(coded)
                 self._in_flight.append((due, decoded, address))
--- a/libs/consensus/tests/test_group.py
+++ b/libs/consensus/tests/test_group.py
@@ -177,18 +177,20 @@
 def test_random_schedule(make_group, seed):
     """No schedule of faults may lose an acknowledged change or diverge."""
     group = make_group(3 if seed % 2 else 5, seed=seed)
-    group.loss = 0.05
-    for number in range(150):
+    group.loss = 0.1
+    group.delay_s = group.random.choice((0.05, 0.15, 0.3))
+    group.sync_chance = group.random.choice((0.1, 0.7))
+    for number in range(200):
         _disturb(group)
         leader = group.find_leader()
         base = leader.store.version if leader else 0
-        for _ in range(group.random.randint(0, 2)):
-            group.propose(base, f'{number}-{group.random.randint(0, 1)}')
-        group.run_for(group.random.uniform(0.0, 0.6))
+        for address in group.hosts:
+            group.propose(base, f'{number}-{address}', address=address)
+        group.run_for(group.random.uniform(0.0, 1.0))
     _heal(group)
     versions = [outcome.version for outcome, _ in group.acknowledged.values()]
     _await_version(group, max(versions))
-    group.run_until(lambda: _has_all(group, group.find_leader().store.version))
+    group.run_until(lambda: _is_settled(group))
     accepted = [
         o for o, _ in group.acknowledged.values() if o.kind is ACCEPTED
     ]
@@ -196,16 +198,24 @@
     assert len(accepted) > 10
 
 
+def _is_settled(group):
+    leader = group.find_leader()
+    return leader is not None and _has_all(group, leader.store.version)
+
+
 def _disturb(group):
     address = group.random.choice(list(group.hosts))
     action = group.random.random()
-    if action < 0.12:
+    if action < 0.2:
         group.kill(address)
-    elif action < 0.2:
+    elif action < 0.25:
+        for other in group.hosts:
+            group.kill(other)
+    elif action < 0.35:
         group.isolate(address)
-    elif action < 0.3:
+    elif action < 0.5:
         group.cut.clear()
-    elif action < 0.55:
+    elif action < 0.8:
         _restart_down(group)
 
 
@@ -218,4 +228,5 @@
 def _heal(group):
     group.cut.clear()
     group.loss = 0.0
+    group.delay_s = 0.05
     _restart_down(group)
--- /dev/null
+++ b/libs/consensus/tests/test_node.py
@@ -0,0 +1,130 @@
+"""Tests of single rules of the protocol."""
+
+import random
+
+import pytest
+
+from cactusloft_consensus import messages
+from cactusloft_consensus import node
+
+MEMBERS = tuple(messages.Member(name, name, True) for name in 'abc')
+SNAPSHOT = messages.Snapshot(1, 1, MEMBERS, b'')
+LATER = 100.0
+
+
+def _make_node(term=3, entries=()):
+    vote = messages.VoteRecord(term, '')
+    persisted = node.Persisted('a', vote, SNAPSHOT, entries)
+    return node.Node(persisted, node.Timing(), random.Random(1), 0.0)
+
+
+def _entry(index, term):
+    return messages.Entry(index, term, messages.EntryKind.NO_OP, b'')
+
+
+def _receive(replica, sender, message, now=LATER):
+    replica.receive(messages.Envelope(sender, 'a', message), now)
+    return replica.collect()
+
+
+def _append(term, prev, entries=(), commit=0, echo=0, age=None):
+    return messages.Append(term, *prev, entries, commit, 1, echo, age)
+
+
+def _elect(replica):
+    """Make ``replica`` win an election in the next term."""
+    replica.tick(LATER)
+    term = replica.term + 1
+    _receive(replica, 'b', messages.PreVoteReply(replica.term, term, True))
+    assert replica.role == 'candidate'
+    _receive(replica, 'b', messages.VoteReply(term, True))
+    assert not replica.is_leader, 'won with an own vote that is not synced'
+    replica.note_synced((1, 1, term), LATER)
+    assert replica.is_leader
+
+
+def test_one_vote_in_a_term():
+    """Two votes in a term could elect two leaders."""
+    replica = _make_node()
+    first = _receive(replica, 'b', messages.Vote(4, 9, 3))
+    second = _receive(replica, 'c', messages.Vote(4, 9, 3))
+    assert first.records[-1] == messages.VoteRecord(4, 'b')
+    assert first.synced_messages[0].message.granted
+    assert not first.messages, 'a vote left before its sync'
+    assert not second.synced_messages[0].message.granted
+
+
+@pytest.mark.parametrize('last_index,last_term', [(1, 1), (2, 2), (9, 2)])
+def test_no_vote_for_a_shorter_log(last_index, last_term):
+    """A leader without a committed entry would overwrite it."""
+    replica = _make_node(entries=(_entry(2, 3),))
+    request = messages.Vote(4, last_index, last_term)
+    output = _receive(replica, 'b', request)
+    assert not output.synced_messages[0].message.granted
+    asked = messages.PreVote(5, last_index, last_term)
+    output = _receive(replica, 'b', asked)
+    assert not output.synced_messages[0].message.granted
+
+
+def test_append_is_acknowledged_after_sync():
+    """An acknowledged entry that is not durable can be lost."""
+    replica = _make_node()
+    append = _append(3, (1, 1), (_entry(2, 3),))
+    output = _receive(replica, 'b', append)
+    assert output.records == (messages.EntriesRecord((_entry(2, 3),)),)
+    assert output.synced_messages[0].message.match == 2
+    assert not output.messages
+
+
+def test_entry_of_earlier_term_does_not_commit_alone():
+    """A majority for an entry of an earlier term does not protect it."""
+    replica = _make_node(entries=(_entry(2, 3),))
+    _elect(replica)
+    replica.note_synced((2, 3, 4), LATER)
+    round_id = replica.collect().messages[-1].message.round_id
+    _receive(replica, 'b', messages.AppendReply(4, True, 2, round_id, 7))
+    assert replica.commit == 1 and not replica.is_ready
+    replica.note_synced((3, 4, 4), LATER)
+    _receive(replica, 'b', messages.AppendReply(4, True, 3, round_id, 7))
+    assert replica.commit == 3 and replica.is_ready
+
+
+def test_contradicted_commit_stops_the_replica():
+    """Replacing a committed entry must never go unnoticed."""
+    replica = _make_node()
+    _receive(replica, 'b', _append(3, (1, 1), (_entry(2, 3),), commit=2))
+    assert replica.commit == 2
+    with pytest.raises(node.ConsensusError):
+        _receive(replica, 'c', _append(4, (1, 1), (_entry(2, 4),)))
+
+
+def test_snapshot_keeps_entries_that_agree():
+    """Entries behind a snapshot may already count as replicated."""
+    entries = tuple(_entry(index, 3) for index in range(2, 6))
+    replica = _make_node(entries=entries)
+    snapshot = messages.Snapshot(3, 3, MEMBERS, b'state')
+    message = messages.InstallSnapshot(3, snapshot, 1)
+    output = _receive(replica, 'b', message)
+    assert output.snapshot == snapshot
+    assert replica.log.last_index == 5
+
+
+def test_confirmation_counts_from_own_reply():
+    """A heartbeat delayed on its way must not confirm the present."""
+    replica = _make_node()
+    output = _receive(replica, 'b', _append(3, (1, 1)), now=50.0)
+    token = output.synced_messages[0].message.token
+    late = _append(3, (1, 1), commit=1, echo=token, age=0.5)
+    _receive(replica, 'b', late, now=90.0)
+    assert replica.confirmed_at == 49.5
+    ahead = _append(3, (1, 1), commit=2, echo=token, age=0.0)
+    _receive(replica, 'b', ahead, now=91.0)
+    assert replica.confirmed_at == 49.5, 'confirmed without the last entry'
+
+
+def test_message_to_the_former_replica_is_dropped():
+    """A host with a new disk must not answer for its lost replica."""
+    replica = _make_node()
+    envelope = messages.Envelope('b', 'former', messages.Vote(4, 9, 3))
+    replica.receive(envelope, LATER)
+    assert not replica.collect().synced_messages
