--- /dev/null
+++ b/daemon/src/cactusloftd/_callers.py
@@ -0,0 +1,89 @@
+"""The listener for callers."""
+
+from returns import pipeline
+
+from cactusloft_model import errors
+from cactusloft_model import events
+from cactusloftd import _calls
+from cactusloftd import _http
+from cactusloftd import _problems
+
+_E = errors.ErrorKind
+_V = events.Event
+
+
+class Callers:
+    """Serve requests of callers.
+
+    :param entry: :class:`_entry.Entry`.
+    :param exchanges: :class:`_http.Exchanges`.
+    :param log: :class:`events.EventLog`.
+    """
+
+    def __init__(self, entry, exchanges, log):
+        self._entry = entry
+        self._exchanges = exchanges
+        self._log = log
+
+    async def handle(self, request):
+        """Answer one request."""
+        with self._exchanges:
+            if self._exchanges.is_closing:
+                return self._refuse(_calls.fail(_E.SHUTTING_DOWN))
+            return await self._serve(request)
+
+    async def _serve(self, request):
+        head = _http.read_head(request, request.raw_path)
+        if not pipeline.is_successful(head):
+            return self._refuse(head)
+        inbound = head.unwrap()
+        authorised = self._entry.authorise(inbound)
+        if not pipeline.is_successful(authorised):
+            return self._refuse(authorised)
+        route, account = authorised.unwrap()
+        body = await _http.read_body(request, route.max_body_bytes)
+        if not pipeline.is_successful(body):
+            return self._refuse(body)
+        made = self._entry.make_root_call(
+            inbound, route, account, body.unwrap()
+        )
+        if not pipeline.is_successful(made):
+            return self._refuse(made)
+        call = made.unwrap()
+        outcome = await self._entry.dispatch(call)
+        return await self._answer(request, call.context, outcome)
+
+    async def _answer(self, request, context, outcome):
+        if not pipeline.is_successful(outcome):
+            return self._refuse(outcome, context)
+        response = outcome.unwrap()
+        self._record(_V.CALL_ANSWERED, context, status=response.status)
+        try:
+            return await _http.write_response(
+                request, response, context.call_id
+            )
+        except _calls.ResponseCut as error:
+            self._record(_V.CALL_CUT, context, detail=str(error))
+            raise
+
+    def _refuse(self, failed, context=None):
+        error = failed.failure()
+        call_id = ''
+        if context is not None:
+            call_id = context.call_id
+            self._record(
+                _V.CALL_REFUSED,
+                context,
+                kind=error.kind.value,
+                not_run=error.answer.not_run.value,
+            )
+        return _problems.make_problem(error, call_id)
+
+    def _record(self, event, context, **fields):
+        self._log.record(
+            event,
+            call_id=context.call_id,
+            root_call_id=context.root_call_id,
+            client_account=context.client_account,
+            **fields,
+        )
