Add the call ledger: votes, fencing, segments and copying

Reservations of idempotency keys are won by votes of a majority, without a leader. Member and claim are pure classes; the service syncs groups of records in a thread before it replies.

A plain timeout on votes was excluded, because a frozen entry may still count them; instead a majority promises never to vote for the rival's attempt. Numbered attempts make late messages harmless.

A member that lost its ledger folder but kept its identity is stopped, since its earlier votes may still be counted.

--- /dev/null
+++ b/libs/ledger/src/cactusloft_ledger/_storage.py
@@ -0,0 +1,325 @@
+"""Hourly segments of records, each with its length and CRC-32.
+
+Records are appended in groups and synced once for each group. All functions
+block; the service calls them in a thread.
+"""
+
+import fcntl
+import os
+import pathlib
+import struct
+import time
+import zlib
+
+import attrs
+import msgspec
+
+from cactusloft_ledger import _messages
+
+RETENTION_HOURS = 24
+HOUR_S = 3600.0
+_HEADER = struct.Struct('!II')
+# A kept body, its headers and the key fit; a larger length is damage.
+MAX_RECORD_BYTES = 1024 * 1024
+_STATE_NAME = 'state'
+
+
+class StorageDamaged(Exception):
+    """A synced record cannot be read back; the folder must be replaced."""
+
+
+class StorageFull(Exception):
+    """A group could not be written; the folder is as it was before."""
+
+
+class StorageFailed(Exception):
+    """The state of the file is unknown after a failed sync or truncation."""
+
+
+@attrs.frozen
+class Place:
+    """Where a record is stored."""
+
+    segment: int
+    offset: int
+    size: int
+
+
+@attrs.frozen
+class Participation:
+    """The last epoch in which the member with this folder voted."""
+
+    replica_id: str = ''
+    active_epoch: int = 0
+
+
+class SegmentStore:
+    """Records of one member in a folder of its own.
+
+    :param folder: path; made when missing.
+    :param read_clock: monotonic seconds. An hour is counted by this clock and
+        only while the member runs, so that a wrong wall clock cannot delete
+        reservations early.
+    """
+
+    def __init__(self, folder, read_clock=time.monotonic):
+        self._folder = pathlib.Path(folder)
+        self._read_clock = read_clock
+        self._lock = None
+        self._fd = None
+        self._segment = 0
+        self._size = 0
+        self._started = read_clock()
+        self._is_failed = False
+
+    def open(self):
+        """Lock the folder and return all stored records.
+
+        :returns: list of (:class:`Place`, payload), oldest first.
+        :raises StorageDamaged: when an earlier record is damaged.
+        :raises StorageFailed: when another process uses the folder.
+        """
+        self._folder.mkdir(parents=True, exist_ok=True)
+        _sync_folder(self._folder.parent)
+        self._take_lock()
+        records = []
+        segments = self._list_segments()
+        for segment in segments:
+            is_last = segment == segments[-1]
+            records.extend(self._read_segment(segment, is_last))
+        self._open_segment(segments[-1] if segments else 1)
+        return records
+
+    def close(self):
+        """Close the files and free the folder."""
+        for fd in (self._fd, self._lock):
+            if fd is not None:
+                os.close(fd)
+        self._fd = self._lock = None
+
+    def append(self, payloads):
+        """Write and sync records as one group.
+
+        :returns: the :class:`Place` of each.
+        :raises StorageFull: when nothing was stored, for lack of space.
+        :raises StorageFailed: when the member must stop.
+        """
+        if self._is_failed:
+            raise StorageFailed('an earlier write failed')
+        try:
+            self._write(b''.join(map(_frame, payloads)))
+        except OSError as error:
+            self._undo(error)
+            raise StorageFull(str(error)) from error
+        self._sync()
+        places = []
+        for payload in payloads:
+            place = Place(self._segment, self._size, len(payload))
+            places.append(place)
+            self._size += _HEADER.size + len(payload)
+        return places
+
+    def read(self, place):
+        """Return the payload at ``place``.
+
+        :raises StorageDamaged: when it does not match its checksum.
+        """
+        with open(self._path(place.segment), 'rb') as file:
+            file.seek(place.offset)
+            data = file.read(_HEADER.size + place.size)
+        payload = _parse(data, 0)
+        if payload is None:
+            raise StorageDamaged(f'record at {place}')
+        return payload
+
+    def roll(self):
+        """Start a new segment when the hour is over.
+
+        :returns: numbers of the segments that were deleted.
+        """
+        hours = int((self._read_clock() - self._started) / HOUR_S)
+        if hours <= 0:
+            return []
+        self._started += hours * HOUR_S
+        os.close(self._fd)
+        self._open_segment(self._segment + hours)
+        limit = self._segment - RETENTION_HOURS
+        old = [s for s in self._list_segments() if s < limit]
+        for segment in old:
+            self._path(segment).unlink()
+        _sync_folder(self._folder)
+        return old
+
+    def begin_participation(self, replica_id):
+        """Return the stored :class:`Participation` of ``replica_id``.
+
+        A replica that lost this folder but kept its identity must not vote
+        again: its earlier votes may still be counted in the same epoch. The
+        marker beside the folder tells it from a new replica.
+
+        :raises StorageDamaged: when the folder was lost.
+        """
+        marker = self._folder.with_name(self._folder.name + '.member')
+        known = self._read_participation()
+        if known.replica_id == replica_id:
+            return known
+        if marker.exists() and marker.read_text() == replica_id:
+            detail = f'{self._folder} was lost; remove and add this replica'
+            raise StorageDamaged(detail)
+        known = Participation(replica_id)
+        self.write_participation(known)
+        _write_synced(marker, replica_id.encode())
+        return known
+
+    def _read_participation(self):
+        try:
+            data = (self._folder / _STATE_NAME).read_bytes()
+        except FileNotFoundError:
+            return Participation()
+        payload = _parse(data, 0)
+        if payload is None:
+            raise StorageDamaged(f'{self._folder / _STATE_NAME} is damaged')
+        return msgspec.msgpack.decode(payload, type=Participation)
+
+    def write_participation(self, participation):
+        """Replace the stored participation, synced."""
+        data = _frame(msgspec.msgpack.encode(participation))
+        _write_synced(self._folder / _STATE_NAME, data)
+
+    def _take_lock(self):
+        flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+        self._lock = os.open(self._folder / 'lock', flags, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            detail = f'{self._folder} is used by another process'
+            raise StorageFailed(detail) from error
+
+    def _path(self, segment):
+        return self._folder / f'segment-{segment:08d}'
+
+    def _list_segments(self):
+        names = self._folder.glob('segment-*')
+        return sorted(int(name.name.partition('-')[2]) for name in names)
+
+    def _open_segment(self, segment):
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
+        self._fd = os.open(self._path(segment), flags, 0o600)
+        _sync_folder(self._folder)
+        self._segment = segment
+        self._size = os.fstat(self._fd).st_size
+
+    def _read_segment(self, segment, is_last):
+        path = self._path(segment)
+        data = path.read_bytes()
+        records = []
+        offset = 0
+        while offset < len(data):
+            payload = _parse(data, offset)
+            if payload is None:
+                break
+            place = Place(segment, offset, len(payload))
+            records.append((place, payload))
+            offset += _HEADER.size + len(payload)
+        if offset < len(data):
+            if not is_last or _has_record_after(data, offset):
+                detail = f'{path} has a damaged record at byte {offset}'
+                raise StorageDamaged(detail)
+            _cut(path, offset)
+        return records
+
+    def _write(self, data):
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._fd, view) :]
+
+    def _undo(self, error):
+        """Cut off a group that was written in part."""
+        try:
+            os.ftruncate(self._fd, self._size)
+        except OSError as second:
+            self._is_failed = True
+            raise StorageFailed(str(second)) from error
+
+    def _sync(self):
+        try:
+            os.fsync(self._fd)
+        except OSError as error:
+            # After a failed sync the system may have dropped the data, and a
+            # second sync would report success.
+            self._is_failed = True
+            raise StorageFailed(str(error)) from error
+
+
+def decode_state(payload):
+    """Return the :class:`KeyState` of a record.
+
+    :raises StorageDamaged: when it is not one.
+    """
+    try:
+        return _STATE_DECODER.decode(payload)
+    except msgspec.DecodeError as error:
+        raise StorageDamaged(str(error)) from error
+
+
+_STATE_DECODER = msgspec.msgpack.Decoder(_messages.KeyState)
+
+
+def _frame(payload):
+    length = len(payload).to_bytes(4, 'big')
+    # The length is covered too: a damaged one must not hide later records.
+    checksum = zlib.crc32(payload, zlib.crc32(length))
+    return _HEADER.pack(len(payload), checksum) + payload
+
+
+def _parse(data, offset):
+    """Return the payload of the record at ``offset``, or None."""
+    start = offset + _HEADER.size
+    if start > len(data):
+        return None
+    length, checksum = _HEADER.unpack_from(data, offset)
+    if length > MAX_RECORD_BYTES or start + length > len(data):
+        return None
+    payload = data[start : start + length]
+    seed = zlib.crc32(length.to_bytes(4, 'big'))
+    return payload if zlib.crc32(payload, seed) == checksum else None
+
+
+def _has_record_after(data, offset):
+    """Tell whether a whole record follows the damage at ``offset``.
+
+    A torn group has none, unless its pages reached the disk out of order; the
+    member then stops as for damage, which is the safe side.
+    """
+    last = len(data) - _HEADER.size
+    # Zeros from a file that was extended but not filled are no record.
+    return any(
+        _parse(data, place)
+        for place in range(offset + 1, last)
+        if data[place : place + 4] != b'\0\0\0\0'
+    )
+
+
+def _cut(path, size):
+    with open(path, 'r+b') as file:
+        file.truncate(size)
+        os.fsync(file.fileno())
+
+
+def _write_synced(path, data):
+    """Replace the file at ``path`` as a whole."""
+    new = path.with_name(path.name + '.new')
+    with open(new, 'wb') as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    new.replace(path)
+    _sync_folder(path.parent)
+
+
+def _sync_folder(folder):
+    fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
