Use admission, retries and crash marks in the daemon

The owner queues calls through the admission library instead of refusing at full slots. Entry and owner share pressure, marks and retries (_guards). Answers and refusals carry the pressure of the route.

--- a/daemon/src/cactusloftd/_backend.py
+++ b/daemon/src/cactusloftd/_backend.py
@@ -4,8 +4,6 @@
 while it runs a call.
 """
 
-import json
-
 from aiohttp import web
 import attrs
 import msgspec
@@ -33,6 +31,18 @@
     lease_ms: int
 
 
+@attrs.frozen
+class LoadReport:
+    """Load as a backend server reports it, true or not.
+
+    :ivar load: share of its slots that it claims to be taken.
+    :ivar slots: slots that it claims to have, None when not said.
+    """
+
+    load: float = 0.0
+    slots: int | None = None
+
+
 class Backend:
     """Serve the backend server beside the daemon.
 
@@ -80,10 +90,11 @@
 
     async def _report_load(self, request, body):
         try:
-            json.loads(body)
-        except ValueError as error:
+            report = msgspec.json.decode(body, type=LoadReport)
+        except msgspec.DecodeError as error:
             failed = _calls.fail(_E.BAD_REQUEST, str(error))
             return _refuse(failed)
+        self._owner.report_load(report.load, report.slots)
         return web.Response(status=204)
 
     async def _drain(self, _request, _body):
--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -6,6 +6,7 @@
 import attrs
 from returns import result
 
+from cactusloft_admission import pressure
 from cactusloft_model import calls
 from cactusloft_model import errors
 
@@ -23,6 +24,7 @@
 
     :ivar target: path with query.
     :ivar headers: end-to-end headers, without any key.
+    :ivar route: name of the route in the document of the entry.
     """
 
     context: calls.CallContext
@@ -30,6 +32,12 @@
     target: str
     headers: Headers
     body: bytes
+    route: str = ''
+
+    @property
+    def path(self):
+        """Return the path without the query."""
+        return self.target.partition('?')[0]
 
 
 class ResponseCut(Exception):
@@ -62,6 +70,9 @@
     async def run(self, call: Call) -> Outcome:
         """Run ``call`` and return its response or why there is none."""
 
+    def read_pressure(self, call: Call) -> pressure.Pressure:
+        """Return the pressure known after ``run`` of the same call."""
+
 
 async def iterate_once(body):
     """Yield ``body`` as the only chunk of a response."""
--- a/daemon/src/cactusloftd/_entry.py
+++ b/daemon/src/cactusloftd/_entry.py
@@ -20,6 +20,16 @@
 BEARER = 'bearer '
 _E = errors.ErrorKind
 _V = events.Event
+# The owner could not take the call at all. Trying the next one corrects a
+# stale view of the members, adds no work and needs no retry credit.
+_FREE_KINDS = (_E.NO_BACKEND_SERVER, _E.SHUTTING_DOWN)
+# Unlike refusals on account of the call itself, as a passed deadline or a
+# quarantine.
+_RETRIED_KINDS = (
+    _E.BACKEND_SERVER_FAILED,
+    _E.OUTCOME_UNKNOWN,
+    _E.OVERLOADED,
+)
 
 
 @attrs.frozen
@@ -53,15 +63,19 @@
     :param config: :class:`_config.Config`.
     :param owner: the local owner.
     :param members: :class:`_members.Members`.
+    :param guards: :class:`_guards.Guards`.
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, name, config, owner, members, log, now):
+    def __init__(self, name, config, owner, members, guards, log, now):
         self._name = name
         self._config = config
         self._owner = owner
         self._members = members
+        self._flow = guards.flow
+        self._marks = guards.marks
+        self._retries = guards.retries
         self._log = log
         self._now = now
 
@@ -114,20 +128,16 @@
             idempotent=route.idempotent,
             fingerprint=_fingerprint(inbound, account, route.service, body),
         )
-        return result.Success(
-            _calls.Call(
-                context, inbound.method, inbound.target, inbound.headers, body
-            )
-        )
+        return result.Success(_make_call(context, inbound, body, route))
 
     def make_nested_call(self, inbound, service, parent, body):
         """Return the call that a backend server makes within ``parent``.
 
         :param service: service named by the backend server.
-        :param parent: context of the running call.
+        :param parent: the running :class:`_calls.Call`.
         :returns: ``Success(Call)`` or ``Failure(CallError)``.
         """
-        if parent.depth + 1 >= MAX_DEPTH:
+        if parent.context.depth + 1 >= MAX_DEPTH:
             return _calls.fail(_E.BAD_REQUEST, f'deeper than {MAX_DEPTH}')
         route = self._config.current.find_service_route(
             service, inbound.method, inbound.path
@@ -136,43 +146,89 @@
             return _calls.fail(_E.NO_ROUTE, f'service {service}')
         now = self._now()
         limit_ms = inbound.deadline_ms or route.deadline_ms
-        account = parent.client_account
+        outer = parent.context
+        account = outer.client_account
         context = attrs.evolve(
-            parent,
+            outer,
             call_id=calls.make_call_id(secrets.token_bytes),
-            parent_call_id=parent.call_id,
+            parent_call_id=outer.call_id,
             service=service,
-            deadline=min(parent.deadline, now + limit_ms / 1000),
-            depth=parent.depth + 1,
+            deadline=min(outer.deadline, now + limit_ms / 1000),
+            depth=outer.depth + 1,
             idempotent=route.idempotent,
             fingerprint=_fingerprint(inbound, account, service, body),
         )
-        return result.Success(
-            _calls.Call(
-                context, inbound.method, inbound.target, inbound.headers, body
-            )
-        )
+        call = _make_call(context, inbound, body, route)
+        self._flow.note_nested(parent, call)
+        return result.Success(call)
 
     async def dispatch(self, call):
         """Send ``call`` to an owner and return its outcome.
 
         :returns: ``Success(Response)`` or ``Failure(CallError)``.
         """
+        checked = self._marks.check(call.context.fingerprint)
+        if isinstance(checked, result.Failure):
+            return checked
+        if call.context.depth:
+            return await self._dispatch_nested(call)
+        if self._flow.is_refused(call):
+            return _calls.fail(_E.OVERLOADED, 'would be shed deeper')
+        route = self._config.current.find_service_route(
+            call.context.service, call.method, call.path
+        )
+        self._retries.open(call, route.retries if route else 0)
+        try:
+            return await self._try_owners(call)
+        finally:
+            self._retries.close(call)
+
+    async def _dispatch_nested(self, call):
+        admitted = await self._retries.admit_nested(call)
+        if isinstance(admitted, result.Failure):
+            return admitted
+        return await self._try_owners(call)
+
+    async def _try_owners(self, call):
         tried = set()
         outcome = _calls.fail(_E.NO_BACKEND_SERVER)
-        for _ in range(MAX_OWNERS_TRIED):
+        while len(tried) < MAX_OWNERS_TRIED:
             name, runner = self._choose_owner(call, tried)
             if runner is None:
                 break
             tried.add(name)
             self._record(_V.CALL_DISPATCHED, call, owner=name)
             outcome = await runner.run(call)
+            self._flow.receive(call, name, runner.read_pressure(call))
             if pipeline.is_successful(outcome):
+                self._note_answer(call, outcome.unwrap())
                 break
-            if not _may_try_next(outcome.failure(), call, self._now()):
+            await self._mark_lost_owner(call, outcome.failure())
+            if not await self._may_try_next(outcome.failure(), call):
                 break
         return outcome
 
+    def _note_answer(self, call, response):
+        if response.status < 500:
+            self._retries.note_success(call)
+
+    async def _mark_lost_owner(self, call, error):
+        """Mark a call whose owner daemon was lost while it ran."""
+        if error.kind is _E.BACKEND_SERVER_FAILED:
+            if error.detail == _peers.OWNER_LOST:
+                loss = self._marks.make_loss_id()
+                fingerprint = call.context.fingerprint
+                await self._marks.report_loss(loss, [fingerprint])
+
+    async def _may_try_next(self, error, call):
+        """Tell whether another owner may get the call after ``error``."""
+        is_certain = error.answer.not_run is errors.NotRun.TRUE
+        if error.kind in _FREE_KINDS and is_certain:
+            return call.context.deadline > self._now()
+        if error.kind not in _RETRIED_KINDS:
+            return False
+        return await self._retries.may_resend(call, error)
+
     def _choose_owner(self, call, tried):
         service = call.context.service
         local = self._owner.announcement
@@ -199,10 +255,15 @@
         )
 
 
-def _may_try_next(error, call, now):
-    """Tell whether another owner may get the call after ``error``."""
-    is_certain = error.answer.not_run is errors.NotRun.TRUE
-    return is_certain and call.context.deadline > now
+def _make_call(context, inbound, body, route):
+    return _calls.Call(
+        context,
+        inbound.method,
+        inbound.target,
+        inbound.headers,
+        body,
+        route.name,
+    )
 
 
 def _fingerprint(inbound, account, service, body):
--- /dev/null
+++ b/daemon/src/cactusloftd/_guards.py
@@ -0,0 +1,26 @@
+"""The parts that limit work around an attempt, shared by entry and owner."""
+
+import attrs
+
+from cactusloftd import _flow
+from cactusloftd import _marks
+from cactusloftd import _messages
+from cactusloftd import _retries
+
+
+@attrs.frozen
+class Guards:
+    """Pressure, crash marks and retries of one daemon."""
+
+    flow: _flow.Flow
+    marks: _marks.Marks
+    retries: _retries.Retries
+
+    def handle_messages(self, node):
+        """Serve the requests of other daemons.
+
+        :param node: :class:`link.Node`.
+        """
+        node.handle_requests(_messages.RetryCreditRequest, self.retries.answer)
+        node.handle_requests(_messages.MarkNews, self.marks.receive)
+        node.handle_requests(_messages.PermitRequest, self.marks.answer_permit)
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -52,6 +52,10 @@
         """Return all known registrations."""
         return list(self._members.values())
 
+    def find(self, name):
+        """Return the registration of a daemon, or None."""
+        return self._members.get(name)
+
     def choose(self, service, excluded):
         """Return a member that serves ``service``, or None.
 
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -8,6 +8,7 @@
 import cactusloft_link as link
 from cactusloft_model import calls
 from cactusloft_model import errors
+from cactusloft_retry import marks as retry_marks
 
 
 @attrs.frozen
@@ -33,6 +34,7 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body_bytes: int
+    route: str
 
 
 @attrs.frozen
@@ -51,21 +53,68 @@
 
     :ivar length: bytes of the body, or None when not known beforehand.
     :ivar is_complete: whether the payload is the whole body.
+    :ivar pressure: level of the pressure on this call's route, 0 for none.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     length: int | None
     is_complete: bool
+    pressure: float
 
 
 @attrs.frozen
 class Refusal:
-    """The owner's reason for giving no answer."""
+    """The owner's reason for giving no answer.
+
+    :ivar pressure: level of the pressure on this call's route, 0 for none.
+    """
 
     kind: errors.ErrorKind
     detail: str
     not_run: errors.NotRun | None
+    pressure: float
+
+
+@attrs.frozen
+class RetryCreditRequest:
+    """Ask the entry of a root call for one retry credit."""
+
+    root_call_id: str
+
+
+@attrs.frozen
+class RetryCredit:
+    """Reply to :class:`RetryCreditRequest`."""
+
+    is_given: bool
+
+
+@attrs.frozen
+class MarkNews:
+    """Crash marks that another daemon made or cleared."""
+
+    marks: tuple[retry_marks.Mark, ...]
+
+
+@attrs.frozen
+class MarkReceipt:
+    """Acknowledgement of :class:`MarkNews`."""
+
+
+@attrs.frozen
+class PermitRequest:
+    """Ask the origin of a mark for the run alone, or give it back."""
+
+    fingerprint: str
+    is_return: bool
+
+
+@attrs.frozen
+class Permit:
+    """Reply to :class:`PermitRequest`."""
+
+    is_given: bool
 
 
 @attrs.frozen
@@ -103,5 +152,11 @@
         4: Refusal,
         10: Register,
         11: Registrations,
+        30: RetryCreditRequest,
+        31: RetryCredit,
+        32: MarkNews,
+        33: MarkReceipt,
+        34: PermitRequest,
+        35: Permit,
     }
 )
--- a/daemon/src/cactusloftd/_owner.py
+++ b/daemon/src/cactusloftd/_owner.py
@@ -7,15 +7,21 @@
 import secrets
 
 import attrs
+from returns import result
 
+from cactusloft_admission import controller
+from cactusloft_admission import pressure
 from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_model import events
 from cactusloftd import _calls
 from cactusloftd import _delivery
+from cactusloftd import _gate
 
 LEASE_S = 3.0
 _E = errors.ErrorKind
+_G = controller.Verdict
+_O = controller.Outcome
 
 
 @attrs.frozen
@@ -38,19 +44,26 @@
 class Owner:
     """Admit calls to the backend server and deliver them.
 
+    :param config: :class:`_config.Config`.
+    :param guards: :class:`_guards.Guards`.
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, log, now):
+    def __init__(self, config, guards, log, now):
+        self._config = config
+        self._flow = guards.flow
+        self._marks = guards.marks
+        self._retries = guards.retries
         self._log = log
         self._now = now
         self._announcement = None
         self._delivery = None
+        self._gate = None
         self._lease_until = 0.0
         self._is_draining = False
         self._tokens = {}
-        self._in_flight = 0
+        self._loss_id = ''
 
     @property
     def announcement(self):
@@ -66,32 +79,52 @@
 
     @property
     def in_flight(self):
-        """Return the number of calls at the backend server."""
-        return self._in_flight
+        """Return the number of calls that run or wait for a slot."""
+        return self._gate.held if self._gate else 0
 
     @property
     def has_free_slot(self):
         """Tell whether a call would start at once."""
-        return self.is_serving and self._in_flight < self._announcement.slots
+        return self.is_serving and self._gate.has_room
 
     async def announce(self, announcement):
         """Take a new announcement, or renew the lease of a known one."""
         if announcement != self._announcement:
             old = self._delivery
-            self._delivery = _delivery.Delivery(
-                announcement.url, announcement.connections, self._now
-            )
-            self._announcement = announcement
-            self._is_draining = False
-            self._log.record(
-                events.Event.BACKEND_SERVER_ANNOUNCED,
-                service=announcement.service,
-                instance=announcement.instance,
-            )
+            self._install(announcement)
             if old is not None:
                 await old.close()
         self._lease_until = self._now() + LEASE_S
 
+    def _install(self, announcement):
+        known = self._announcement
+        is_new = known is None or known.instance != announcement.instance
+        self._delivery = _delivery.Delivery(
+            announcement.url, announcement.connections, self._now
+        )
+        self._announcement = announcement
+        self._is_draining = False
+        if is_new:
+            admission = controller.Admission(announcement.slots, self._now)
+            self._gate = _gate.Gate(admission, self._now)
+            self._loss_id = self._marks.make_loss_id()
+        else:
+            self._gate.admission.set_slots(announcement.slots)
+        self._log.record(
+            events.Event.BACKEND_SERVER_ANNOUNCED,
+            service=announcement.service,
+            instance=announcement.instance,
+        )
+
+    def report_load(self, load, slots):
+        """Judge a load report of the backend server.
+
+        :param load: share of its slots that it claims to be taken.
+        :param slots: slots that it claims to have, or None.
+        """
+        if self._gate is not None:
+            self._gate.admission.receive_load(load, slots)
+
     def drain(self):
         """Take no new work; calls in flight go on."""
         if not self._is_draining:
@@ -109,9 +142,16 @@
             await self._delivery.close()
 
     def find_parent(self, token):
-        """Return the context of the running call with ``token``, or None."""
+        """Return the running :class:`_calls.Call` with ``token``, or None."""
         return self._tokens.get(token)
 
+    def read_pressure(self, call):
+        """Return the pressure to report with the answer of ``call``."""
+        if self._gate is None:
+            return pressure.NO_PRESSURE
+        own = self._gate.admission.read_pressure()
+        return self._flow.combine(call, own)
+
     async def run(self, call):
         """Run ``call`` on the backend server.
 
@@ -121,35 +161,170 @@
             return _calls.fail(_E.NO_BACKEND_SERVER, 'not serving')
         if self._announcement.service != call.context.service:
             return _calls.fail(_E.NO_BACKEND_SERVER, 'other service')
-        if not self.has_free_slot:
-            return _calls.fail(_E.OVERLOADED, 'all slots are taken')
-        token = secrets.token_hex(calls.CALL_ID_BYTES)
-        self._tokens[token] = call.context
-        self._in_flight += 1
+        fingerprint = call.context.fingerprint
+        while True:
+            claimed = await self._marks.claim(fingerprint)
+            if isinstance(claimed, result.Failure):
+                return claimed
+            is_alone = claimed.unwrap()
+            outcome = await self._run_claimed(call, is_alone)
+            if outcome is not None:
+                return outcome
+
+    async def _run_claimed(self, call, is_alone):
+        """Run a call, or return None when it was marked while it waited."""
+        gate, fingerprint = self._gate, call.context.fingerprint
+        ticket = self._make_ticket(call, is_alone)
+        is_started = False
+        try:
+            verdict = await gate.enter(ticket)
+            is_started = verdict is _G.STARTED
+        finally:
+            if is_alone and not is_started:
+                await self._marks.return_claim(fingerprint)
+        if not is_started:
+            return self._refuse(call, verdict)
+        if not is_alone and not self._marks.is_ordinary(fingerprint):
+            gate.leave(ticket, _O.ERROR, 0.0)
+            return None
+        return await self._deliver(call, _Run(gate, ticket, self._loss_id))
+
+    def _refuse(self, call, verdict):
+        self._log.record(
+            events.Event.CALL_SHED,
+            call_id=call.context.call_id,
+            root_call_id=call.context.root_call_id,
+            service=call.context.service,
+            priority=call.context.priority.name.lower(),
+            verdict=verdict.value,
+        )
+        if verdict is _G.EXPIRED:
+            return _calls.fail(_E.EXPIRED_IN_QUEUE)
+        return _calls.fail(_E.OVERLOADED, 'shed from the queue')
+
+    async def _deliver(self, call, run):
+        run.token = secrets.token_hex(calls.CALL_ID_BYTES)
+        self._tokens[run.token] = call
+        self._flow.note_call(call)
         is_kept = False
         try:
-            outcome = await self._delivery.send(call, token)
-            if isinstance(outcome, _calls.result.Success):
+            outcome = await self._delivery.send(call, run.token)
+            run.note_outcome(outcome, self._now())
+            if isinstance(outcome, result.Success):
                 is_kept = True
-                return outcome.map(lambda r: self._track(r, token))
+                return outcome.map(lambda r: self._track(call, run, r))
+            await self._judge_failure(call, run, outcome.failure())
             return outcome
         finally:
             if not is_kept:
-                self._release(token)
+                self._release(call, run)
+                if run.ticket.alone and not run.is_lost:
+                    fingerprint = call.context.fingerprint
+                    await self._marks.return_claim(fingerprint)
+
+    async def _judge_failure(self, call, run, error):
+        """Mark the call if the backend server was lost while it ran."""
+        if error.kind is not _E.BACKEND_SERVER_FAILED:
+            return
+        if error.answer.not_run is errors.NotRun.TRUE:
+            self._note_unreachable(run)
+        else:
+            await self._report_loss(call, run)
 
-    def _track(self, response, token):
+    async def _report_loss(self, call, run):
+        loss = run.loss_id
+        run.is_lost = True
+        if run.ticket.alone:
+            # Never the same loss as one that calls beside it have reported.
+            loss = self._marks.make_loss_id()
+        elif loss == self._loss_id:
+            # Calls that start from now on belong to the next loss.
+            self._loss_id = self._marks.make_loss_id()
+        await self._marks.report_loss(loss, [call.context.fingerprint])
+
+    def _note_unreachable(self, run):
+        """Take no new work until the backend server announces itself."""
+        if run.gate is self._gate and self.announcement is not None:
+            self._lease_until = 0.0
+            self._log.record(
+                events.Event.BACKEND_SERVER_LOST,
+                service=self._announcement.service,
+                instance=self._announcement.instance,
+            )
+
+    def _make_ticket(self, call, is_alone):
+        context = call.context
+        account = self._config.current.accounts.get(context.client_account)
+        return controller.Ticket(
+            call_id=context.call_id,
+            client_account=context.client_account,
+            priority=context.priority,
+            deadline=context.deadline,
+            weight=account.weight if account else 1.0,
+            nested=context.depth > 0,
+            kind=call.route,
+            alone=is_alone,
+        )
+
+    def _track(self, call, run, response):
         """Return ``response`` that frees the slot when it is closed."""
-        close_inner = response.close
+        close_inner, chunks = response.close, response.chunks
 
         async def close():
             try:
                 await close_inner()
             finally:
-                self._release(token)
+                self._release(call, run)
+
+        async def watch():
+            try:
+                async for chunk in chunks:
+                    yield chunk
+            except _calls.ResponseCut:
+                await self._report_loss(call, run)
+                raise
 
         response.close = close
+        response.chunks = watch()
         return response
 
-    def _release(self, token):
-        if self._tokens.pop(token, None) is not None:
-            self._in_flight -= 1
+    def _release(self, call, run):
+        if self._tokens.pop(run.token, None) is None:
+            return
+        run.gate.leave(run.ticket, run.outcome, run.latency_s)
+        self._retries.forget_nested(call.context.call_id)
+        if run.ticket.alone and run.is_answered and not run.is_lost:
+            self._marks.report_success(call.context.fingerprint)
+
+
+@attrs.define
+class _Run:
+    """One run of a call on the backend server.
+
+    :ivar loss_id: identity of the loss, if the backend server is lost now.
+    """
+
+    gate: _gate.Gate
+    ticket: controller.Ticket
+    loss_id: str
+    token: str = ''
+    outcome: controller.Outcome = controller.Outcome.ABANDONED
+    latency_s: float | None = None
+    is_lost: bool = False
+
+    @property
+    def is_answered(self):
+        return self.latency_s is not None
+
+    def note_outcome(self, outcome, now):
+        """Take note of the head of the response, or of the failure."""
+        if isinstance(outcome, result.Success):
+            self.latency_s = now - self.ticket.started_at
+            is_error = outcome.unwrap().status >= 500
+            self.outcome = _O.ERROR if is_error else _O.SUCCESS
+            return
+        error = outcome.failure()
+        if error.kind is _E.OVERLOADED:
+            self.outcome = _O.SHED
+        elif error.kind is not _E.DEADLINE_EXCEEDED:
+            self.outcome = _O.ERROR
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -3,6 +3,7 @@
 import attrs
 from returns import result
 
+from cactusloft_admission import pressure
 import cactusloft_link as link
 from cactusloft_model import calls
 from cactusloft_model import errors
@@ -13,6 +14,7 @@
 CHUNK_BYTES = 64 * 1024
 # A first connection takes a few round trips for the key exchange.
 CONNECT_WAIT_S = 0.3
+OWNER_LOST = 'owner was lost'
 
 
 class RemoteOwner:
@@ -25,6 +27,11 @@
     def __init__(self, peer, now):
         self._peer = peer
         self._now = now
+        self._pressure = pressure.NO_PRESSURE
+
+    def read_pressure(self, _call):
+        """Return the pressure that came with the answer."""
+        return self._pressure
 
     async def run(self, call):
         """Run ``call`` on the peer.
@@ -44,10 +51,11 @@
             await _send_rest(stream, body, _messages.BodyChunk)
             frame = await stream.receive()
             outcome = _read_head(stream, frame)
+            self._pressure = _read_pressure(frame.message)
             is_kept = isinstance(outcome, result.Success)
             return outcome
         except link.StreamLost:
-            return _calls.fail(_E.BACKEND_SERVER_FAILED, 'owner was lost')
+            return _calls.fail(_E.BACKEND_SERVER_FAILED, OWNER_LOST)
         finally:
             if not is_kept:
                 stream.close()
@@ -77,14 +85,15 @@
             outcome = _calls.fail(_E.EXPIRED_IN_QUEUE)
         else:
             outcome = await self._owner.run(call)
+        level = self._owner.read_pressure(call).level
         if isinstance(outcome, result.Failure):
-            await stream.send(_make_refusal(outcome.failure()))
+            await stream.send(_make_refusal(outcome.failure(), level))
             # Keeps the stream open until the entry has read the refusal.
             await stream.wait_closed()
             return
         response = outcome.unwrap()
         try:
-            await _send_response(stream, response)
+            await _send_response(stream, response, level)
             await stream.wait_closed()
         finally:
             await response.close()
@@ -108,6 +117,7 @@
         target=call.target,
         headers=call.headers,
         body_bytes=len(call.body),
+        route=call.route,
     )
 
 
@@ -116,12 +126,22 @@
     fields = {name: getattr(start, name) for name in names}
     context = calls.CallContext(deadline=deadline, **fields)
     return _calls.Call(
-        context, start.method, start.target, start.headers, body
+        context,
+        start.method,
+        start.target,
+        start.headers,
+        body,
+        start.route,
     )
 
 
-def _make_refusal(error):
-    return _messages.Refusal(error.kind, error.detail, error.not_run)
+def _make_refusal(error, level):
+    return _messages.Refusal(error.kind, error.detail, error.not_run, level)
+
+
+def _read_pressure(message):
+    level = getattr(message, 'pressure', 0.0)
+    return pressure.Pressure.from_level(level)
 
 
 async def _send_rest(stream, body, make_message):
@@ -131,7 +151,7 @@
         await stream.send(make_message(is_last), chunk)
 
 
-async def _send_response(stream, response):
+async def _send_response(stream, response, level):
     """Send head and body; small bodies go with the head in one message."""
     chunks = response.chunks
     is_small = (
@@ -140,7 +160,7 @@
     )
     body = b''.join([chunk async for chunk in chunks]) if is_small else b''
     head = _messages.AnswerStart(
-        response.status, response.headers, response.length, is_small
+        response.status, response.headers, response.length, is_small, level
     )
     await stream.send(head, body)
     if is_small:
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -16,12 +16,16 @@
 from cactusloftd import _callers
 from cactusloftd import _config
 from cactusloftd import _entry
+from cactusloftd import _flow
+from cactusloftd import _guards
 from cactusloftd import _http
 from cactusloftd import _http_server
+from cactusloftd import _marks
 from cactusloftd import _members
 from cactusloftd import _messages
 from cactusloftd import _owner
 from cactusloftd import _peers
+from cactusloftd import _retries
 
 SHUTDOWN_POLL_S = 0.02
 _V = events.Event
@@ -55,17 +59,20 @@
             hybrid_clock,
         )
         self._node.on_event = self._record_link_event
-        self._owner = _owner.Owner(self._log, now)
         self._members = _members.Members(
             self._node, settings.control_hosts, self._describe, random.Random()
         )
         self._registry = _members.Registry(now)
         text = pathlib.Path(settings.document_file).read_text()
+        config = _config.FileConfig(text)
+        self._guards = self._make_guards(config, now)
+        self._owner = _owner.Owner(config, self._guards, self._log, now)
         self._entry = _entry.Entry(
             settings.name,
-            _config.FileConfig(text),
+            config,
             self._owner,
             self._members,
+            self._guards,
             self._log,
             now,
         )
@@ -73,15 +80,27 @@
         self._runners = []
         self._call_server = _peers.CallServer(self._owner, now)
 
+    def _make_guards(self, config, now):
+        name, members, log = self._settings.name, self._members, self._log
+        return _guards.Guards(
+            _flow.Flow(config, random.Random(), now),
+            _marks.Marks(name, members, log, now),
+            _retries.Retries(name, config, members, log, now),
+        )
+
     async def run(self, stop):
         """Serve until the event ``stop`` is set, then shut down."""
         await self._start()
         self._log.record(_V.DAEMON_STARTED, incarnation=self._incarnation)
-        register = asyncio.create_task(self._members.run())
+        tasks = [
+            asyncio.create_task(self._members.run()),
+            asyncio.create_task(self._guards.marks.run()),
+        ]
         await stop.wait()
         self._log.record(_V.DAEMON_STOPPING)
         await self._shut_down()
-        register.cancel()
+        for task in tasks:
+            task.cancel()
         await self._close()
         self._log.record(_V.DAEMON_STOPPED)
 
@@ -89,6 +108,7 @@
         listeners = self._settings.listeners
         self._node.handle_streams(_messages.CallStart, self._call_server.serve)
         self._node.handle_requests(_messages.Register, self._registry.register)
+        self._guards.handle_messages(self._node)
         self._node.listen(listeners.peers)
         callers = _callers.Callers(self._entry, self._exchanges, self._log)
         backend = _backend.Backend(self._entry, self._owner, self._exchanges)
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -86,12 +86,13 @@
         self._limit.set_slots(slots)
         self._reports.set_slots(slots)
 
-    def receive_load(self, in_flight, slots):
+    def receive_load(self, load, slots):
         """Judge a load report of the backend server.
 
+        :param load: share of its slots that it claims to be taken.
         :param slots: slots that it claims to have, or None.
         """
-        report = _load.LoadReport(in_flight, slots, self._read_clock())
+        report = _load.LoadReport(load, slots, self._read_clock())
         self._reports.receive(report, self._in_flight)
 
     def offer(self, ticket):
@@ -117,14 +118,19 @@
             decisions.append(self._shed(evicted, _tickets.Verdict.EVICTED))
         return decisions
 
-    def finish(self, ticket, outcome):
+    def finish(self, ticket, outcome, latency_s=None):
         """Take note that a started call ended.
 
         :param outcome: :class:`Outcome`.
+        :param latency_s: seconds until the head of the response, None for
+            the whole time that the slot was taken. A slow reader of a long
+            response does not make the backend server slow.
         :returns: list of :class:`Decision` on calls that waited.
         """
         now = self._read_clock()
         used_s = now - ticket.started_at
+        if latency_s is None:
+            latency_s = used_s
         in_flight = self._in_flight
         self._in_flight -= 1
         if ticket.alone:
@@ -132,17 +138,20 @@
         else:
             self._queue.settle(ticket, used_s)
         if outcome is _tickets.Outcome.SUCCESS:
-            self._times.add(ticket.kind, used_s, now)
-        self._limit.observe(ticket.kind, used_s, outcome, in_flight, now)
+            self._times.add(ticket.kind, latency_s, now)
+        self._limit.observe(ticket.kind, latency_s, outcome, in_flight, now)
         return self.advance()
 
-    def cancel(self, ticket):
+    def cancel(self, ticket, is_late=False):
         """Take out a call that its caller abandoned before it started.
 
+        :param is_late: whether its deadline has passed, which is overload.
         :returns: list of :class:`Decision` on calls that waited behind it.
         """
         self._queue.remove(ticket)
         self._alone.remove(ticket)
+        if is_late:
+            self._meter.note_shed()
         return self.advance()
 
     def advance(self):
--- a/libs/admission/src/cactusloft_admission/_load.py
+++ b/libs/admission/src/cactusloft_admission/_load.py
@@ -43,12 +43,12 @@
 class LoadReport:
     """What a backend server says about itself.
 
-    :ivar in_flight: calls that it claims to run.
+    :ivar load: share of its slots that it claims to be taken.
     :ivar slots: slots that it claims to have, None when not said.
     :ivar received_at: monotonic seconds.
     """
 
-    in_flight: int
+    load: float
     slots: int | None
     received_at: float
 
@@ -73,7 +73,7 @@
 
         :param own_in_flight: calls that the owner knows to be in flight.
         """
-        difference = abs(report.in_flight - own_in_flight)
+        difference = abs(report.load * self._slots - own_in_flight)
         if difference > MISLEADING_DIFFERENCE * self._slots:
             self.misleading += 1
         self._latest = report
--- a/libs/admission/tests/test_controller.py
+++ b/libs/admission/tests/test_controller.py
@@ -229,7 +229,7 @@
 def test_load_report_lowers_the_limit_only(claimed, lowest, highest):
     """Guards against a backend server that reports more than it has."""
     server = FakeServer(slots=8)
-    server.admission.receive_load(in_flight=1000, slots=claimed)
+    server.admission.receive_load(load=1.0, slots=claimed)
     assert lowest <= server.admission.compute_limit() <= highest
     assert server.admission.in_flight == 0
     assert server.admission.misleading_reports == 1
