--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -2,10 +2,7 @@
 
 import asyncio
 
-import attrs
-
 import cactusloft_link as link
-from cactusloft_membership import choice
 from cactusloft_membership import registry
 from cactusloft_model import errors
 from cactusloftd import _messages
@@ -17,8 +14,6 @@
 FIRST_USE_WAIT_S = 1.0
 # Bounds the requests for members of a service that has none.
 ASK_INTERVAL_S = 0.2
-# A call waits this long for a link that is just being made.
-CONNECT_WAIT_S = 0.25
 
 
 class RegistrationServer:
@@ -41,6 +36,15 @@
         members = self._held.list_members(message.services, now)
         return _messages.Registrations(tuple(members))
 
+    async def look_up(self, message, _age_s):
+        """Return the registration of one daemon."""
+        found = (m for m in self.list_all() if m.name == message.name)
+        return _messages.Registrations(tuple(found))
+
+    def list_all(self):
+        """Return all live registrations."""
+        return self._held.list_all(self._now())
+
 
 class Members:
     """This daemon's view of the members of the services that it uses.
@@ -48,7 +52,7 @@
     :param node: :class:`link.Node`.
     :param control_hosts: :class:`ControlHost` tuple of the settings.
     :param describe: function that returns this daemon's ``Registration``.
-    :param view: :class:`choice.View`.
+    :param view: :class:`cactusloft_membership.choice.View`.
     :param now: function that returns monotonic seconds.
     """
 
@@ -86,6 +90,23 @@
     def _note_asked(self, _task):
         self._asking = None
 
+    async def resolve(self, name):
+        """Return the registration of any daemon of the fleet, or None."""
+        known = next((m for m in self.list_members() if m.name == name), None)
+        if known is not None:
+            return known
+        message = _messages.Lookup(name)
+        for peer in self.list_control_links():
+            reply = await peer.request(message, REGISTER_TIMEOUT_S)
+            answer = reply.value_or(None)
+            if answer is not None and answer.members:
+                return answer.members[0]
+        return None
+
+    def list_control_links(self):
+        """Return the links to the control hosts."""
+        return [self._node.connect(h.address) for h in self._control_hosts]
+
     def choose(self, service, excluded):
         """Return a member that serves ``service``, or None.
 
@@ -98,12 +119,13 @@
         """Return the :class:`_calls.Runner` that sends calls to a member."""
         return _MemberRunner(
             member,
-            self._connect(member),
+            self.connect(member),
             self._view.find_chooser(member.service),
             self._now,
         )
 
-    def _connect(self, member):
+    def connect(self, member):
+        """Return the link to a member's daemon."""
         address = link.PeerAddress(member.peers, member.public_key)
         return self._node.connect(address)
 
@@ -111,7 +133,7 @@
         """Register with every control host and merge their answers."""
         services = self._view.list_services(self._now())
         message = _messages.Register(self._describe(), tuple(services))
-        links = [self._node.connect(h.address) for h in self._control_hosts]
+        links = self.list_control_links()
         replies = await asyncio.gather(
             *(peer.request(message, REGISTER_TIMEOUT_S) for peer in links)
         )
@@ -128,45 +150,48 @@
         self._view.update(services, merged.values(), self._now())
         for member in self._view.list_members():
             # Connecting takes longer than a call may wait for it.
-            self._connect(member)
+            self.connect(member)
 
 
-@attrs.frozen
 class _MemberRunner:
     """Run calls on a member and keep count of those in flight."""
 
-    member: registry.Registration
-    peer: link.Link
-    chooser: choice.Chooser
-    now: object
+    def __init__(self, member, peer, chooser, now):
+        self._name = member.name
+        self._peer = peer
+        self._owner = _peers.RemoteOwner(peer, now)
+        self._chooser = chooser
+        self._now = now
+
+    def read_pressure(self, call):
+        """Return the pressure that came with the answer."""
+        return self._owner.read_pressure(call)
 
     async def run(self, call):
         """Run ``call`` on the member.
 
         :returns: ``Success(Response)`` or ``Failure(CallError)``.
         """
-        name = self.member.name
-        self.chooser.begin(name)
+        self._chooser.begin(self._name)
         is_kept = False
         try:
-            await self.peer.wait_until_up(CONNECT_WAIT_S)
-            outcome = await _peers.RemoteOwner(self.peer, self.now).run(call)
+            outcome = await self._owner.run(call)
             response = outcome.value_or(None)
             if response is not None:
                 self._finish_on_close(response)
                 is_kept = True
             elif _is_not_serving(outcome.failure()):
-                self.chooser.avoid(name, self.now())
+                self._chooser.avoid(self._name, self._now())
             return outcome
         finally:
             if not is_kept:
-                self.chooser.finish(name)
+                self._chooser.finish(self._name)
 
     def _finish_on_close(self, response):
         close_inner = response.close
 
         async def close():
-            self.chooser.finish(self.member.name)
+            self._chooser.finish(self._name)
             await close_inner()
 
         response.close = close
