--- a/bench/tests/test_examples.py
+++ b/bench/tests/test_examples.py
@@ -43,7 +43,7 @@
     assert sum(rates[-2:]) > sum(rates[:-2])
     critical = {
         route.name
-        for route in parsed.routes
+        for route in parsed.routes.values()
         if route.priority is calls.Priority.CRITICAL
     }
     assert critical == shed_last
@@ -57,7 +57,7 @@
     """A booking or purchase order that is sent again must not run twice."""
     text = (FOLDER / f'{name}.ini').read_text()
     parsed = document.parse_document(text).unwrap()
-    for route in parsed.routes:
+    for route in parsed.routes.values():
         if route.priority is calls.Priority.CRITICAL:
             assert not route.idempotent
             assert route.needs_idempotency_key
--- a/daemon/src/cactusloftd/_metrics.py
+++ b/daemon/src/cactusloftd/_metrics.py
@@ -82,13 +82,13 @@
         'cactusloft_deliveries_total',
         _C,
         ('outcome',),
-        'calls that the owner took, by outcome',
+        'calls sent to the backend server, by outcome',
     ),
     Definition(
         'cactusloft_retries_total',
         _C,
         ('outcome',),
-        'retries wanted at this entry: sent, or refused by reason',
+        'retries that this daemon asked a credit for: sent or denied',
     ),
     Definition(
         'cactusloft_rate_grants_total',
@@ -118,7 +118,7 @@
         'cactusloft_in_flight_calls',
         _G,
         (),
-        'calls at the backend server',
+        'calls that run at the backend server or wait for a slot',
     ),
     Definition(
         'cactusloft_queued_calls',
@@ -169,6 +169,10 @@
         'time since the document was confirmed as current',
     ),
 )
+_RETRY_OUTCOMES = {
+    events.Event.CALL_RETRIED: 'sent',
+    events.Event.RETRY_DENIED: 'denied',
+}
 _BY_NAME = {definition.name: definition for definition in DEFINITIONS}
 
 
@@ -201,8 +205,9 @@
     def count_event(self, event, _fields):
         """Count a logged event; for ``EventLog.on_record``."""
         self.count('cactusloft_events_total', event.name.lower())
-        if event is events.Event.CALL_RETRIED:
-            self.count('cactusloft_retries_total', 'sent')
+        outcome = _RETRY_OUTCOMES.get(event)
+        if outcome is not None:
+            self.count('cactusloft_retries_total', outcome)
 
     def record(self, name, seconds, *labels):
         """Add a duration to a histogram."""
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -19,13 +19,17 @@
 from cactusloftd import _callers
 from cactusloftd import _config
 from cactusloftd import _entry
+from cactusloftd import _flow
+from cactusloftd import _guards
 from cactusloftd import _http
 from cactusloftd import _http_server
+from cactusloftd import _marks
 from cactusloftd import _members
 from cactusloftd import _messages
 from cactusloftd import _metrics
 from cactusloftd import _owner
 from cactusloftd import _peers
+from cactusloftd import _retries
 
 SHUTDOWN_POLL_S = 0.02
 _V = events.Event
@@ -62,9 +66,6 @@
             hybrid_clock,
         )
         self._node.on_event = self._record_link_event
-        self._owner = _owner.Owner(self._log, now)
-        self._is_changed = asyncio.Event()
-        self._owner.on_change = self._is_changed.set
         self._members = _members.Members(
             self._node,
             settings.control_hosts,
@@ -76,11 +77,19 @@
             registry.Registry(), now
         )
         text = pathlib.Path(settings.document_file).read_text()
+        config = _config.FileConfig(text)
+        self._guards = self._make_guards(config, now)
+        self._owner = _owner.Owner(
+            config, self._guards, self._log, self._metrics, now
+        )
+        self._is_changed = asyncio.Event()
+        self._owner.on_change = self._is_changed.set
         self._entry = _entry.Entry(
             settings.name,
-            _config.FileConfig(text),
+            config,
             self._owner,
             self._members,
+            self._guards,
             self._log,
             now,
         )
@@ -89,15 +98,27 @@
         self._call_server = _peers.CallServer(self._owner, now)
         self._observe()
 
+    def _make_guards(self, config, now):
+        name, members, log = self._settings.name, self._members, self._log
+        return _guards.Guards(
+            _flow.Flow(config, random.Random(), now),
+            _marks.Marks(name, members, self._registrations, log, now),
+            _retries.Retries(name, config, members, log, now),
+        )
+
     async def run(self, stop):
         """Serve until the event ``stop`` is set, then shut down."""
         await self._start()
         self._log.record(_V.DAEMON_STARTED, incarnation=self._incarnation)
-        register = asyncio.create_task(self._keep_registered())
+        tasks = [
+            asyncio.create_task(self._keep_registered()),
+            asyncio.create_task(self._guards.marks.run()),
+        ]
         await stop.wait()
         self._log.record(_V.DAEMON_STOPPING)
         await self._shut_down()
-        register.cancel()
+        for task in tasks:
+            task.cancel()
         await self._close()
         self._log.record(_V.DAEMON_STOPPED)
 
@@ -107,6 +128,10 @@
         self._node.handle_requests(
             _messages.Register, self._registrations.register
         )
+        self._node.handle_requests(
+            _messages.Lookup, self._registrations.look_up
+        )
+        self._guards.handle_messages(self._node)
         self._node.listen(listeners.peers)
         callers = _callers.Callers(
             self._entry, self._exchanges, self._log, self._metrics
@@ -122,6 +147,8 @@
         observe = self._metrics.observe_number
         owner, exchanges = self._owner, self._exchanges
         observe('cactusloft_in_flight_calls', lambda: owner.in_flight)
+        observe('cactusloft_queued_calls', self._read_queued)
+        observe('cactusloft_concurrency_limit_calls', self._read_limit)
         observe('cactusloft_open_exchanges', lambda: exchanges.count)
         observe(
             'cactusloft_backend_server_lease',
@@ -129,6 +156,14 @@
         )
         self._metrics.observe('cactusloft_members', self._count_members)
 
+    def _read_queued(self):
+        admission = self._owner.admission
+        return admission.queued if admission else None
+
+    def _read_limit(self):
+        admission = self._owner.admission
+        return admission.compute_limit() if admission else None
+
     def _count_members(self):
         services = (m.service for m in self._members.list_members())
         counts = collections.Counter(services)
