--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -4,6 +4,7 @@
 
 import cactusloft_link as link
 from cactusloft_membership import registry
+from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloftd import _messages
 from cactusloftd import _peers
@@ -14,6 +15,8 @@
 FIRST_USE_WAIT_S = 1.0
 # Bounds the requests for members of a service that has none.
 ASK_INTERVAL_S = 0.2
+# Levels of pressure, from everything to nothing admitted.
+PRESSURE_LEVELS = len(calls.Priority)
 
 
 class RegistrationServer:
@@ -176,6 +179,10 @@
         is_kept = False
         try:
             outcome = await self._owner.run(call)
+            level = self._owner.read_pressure(call).level
+            self._chooser.report(
+                self._name, level / PRESSURE_LEVELS, self._now()
+            )
             response = outcome.value_or(None)
             if response is not None:
                 self._finish_on_close(response)
--- a/libs/membership/src/cactusloft_membership/_choice.py
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -29,7 +29,6 @@
     process: tuple
     first_seen: float
     in_flight: int = 0
-    reported_in_flight: int = 0
     reported_pressure: float = 0.0
     reported_at: float = float('-inf')
     avoided_until: float = float('-inf')
@@ -114,15 +113,13 @@
         if state is not None and state.in_flight:
             state.in_flight -= 1
 
-    def report(self, name, in_flight, pressure, now):
-        """Take the figures that an owner sent with a response.
+    def report(self, name, pressure, now):
+        """Take the pressure that an owner sent with a response.
 
-        :param in_flight: calls in flight at its backend server.
         :param pressure: share of calls that it sheds, 0 to 1.
         """
         state = self._states.get(name)
         if state is not None:
-            state.reported_in_flight = in_flight
             state.reported_pressure = pressure
             state.reported_at = now
 
@@ -144,11 +141,8 @@
 
     def _compute_load(self, member, now):
         state = self._states[member.name]
-        in_flight = state.in_flight
-        if now - state.reported_at < REPORT_KEPT_S:
-            in_flight = max(in_flight, state.reported_in_flight)
         slots = max(1, member.slots) * compute_warmth(now - state.first_seen)
-        load = (in_flight + 1) / max(1.0, slots)
+        load = (state.in_flight + 1) / max(1.0, slots)
         return load + PRESSURE_WEIGHT * self._read_pressure(state, now)
 
     def _read_pressure(self, state, now):
