Notice connections from the socket monitor at once

A first call through a new link failed with no_backend_server: the monitor's descriptor is edge-triggered and was never armed by a first read, so neither a new connection nor a broken one was noticed before the next ping or the silence limit. A slow key exchange was excluded: it takes 3 to 8 ms. The new test failed before the change.

--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -165,7 +165,7 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def make_dealer(self, address, on_parts, on_disconnected):
+    def make_dealer(self, address, on_parts, on_connected, on_disconnected):
         """Return a connected socket and its monitor."""
         socket = self._make_socket(zmq.DEALER)
         socket.curve_serverkey = address.public_key.encode('ascii')
@@ -174,7 +174,7 @@
         socket.immediate = 1
         socket.reconnect_ivl = 50
         socket.reconnect_ivl_max = 1000
-        monitor = _monitor.Monitor(socket, on_disconnected)
+        monitor = _monitor.Monitor(socket, on_connected, on_disconnected)
         socket.connect(f'tcp://{address.endpoint}')
         return _socket.LoopSocket(socket, on_parts), monitor
 
@@ -287,9 +287,13 @@
 
     def _open_socket(self):
         self._socket, self._monitor = self._node.make_dealer(
-            self._address, self._take_parts, self._reset
+            self._address, self._take_parts, self._greet, self._reset
         )
 
+    def _greet(self):
+        # The first pong shows that the peer itself is alive.
+        self._send(_T.PING, 0)
+
     def _close_socket(self):
         self._monitor.close()
         self._socket.close()
--- a/libs/link/tests/test_node.py
+++ b/libs/link/tests/test_node.py
@@ -7,6 +7,7 @@
 import pytest
 
 import cactusloft_link as link_lib
+from cactusloft_link import _node
 from cactusloft_model import clock
 
 FAR = 10.0
@@ -194,3 +195,23 @@
         return await link.request(Ask('a'), FAR)
 
     assert run(tmp_path, scenario).unwrap().text == 'a'
+
+
+def test_connection_is_noticed_without_pings(tmp_path, monkeypatch):
+    """A first call must not wait for the next ping, nor a lost one."""
+    monkeypatch.setattr(_node, 'PING_INTERVAL_S', 1000.0)
+
+    async def scenario(server, client, link, address):
+        async def wait(message, age_s):
+            await asyncio.sleep(FAR)
+
+        server.handle_requests(Ask, wait)
+        pending = asyncio.create_task(link.request(Ask('a'), 1000.0))
+        await asyncio.sleep(0.05)
+        was_up = link.is_up
+        server.close()
+        return was_up, await asyncio.wait_for(pending, FAR)
+
+    was_up, reply = run(tmp_path, scenario)
+    assert was_up
+    assert reply.failure().failure is link_lib.LinkFailure.LOST
