Raise pressure by the excess of offered over started calls

Cause: the level rose by fixed steps while calls were shed. Pressure reports are one response old, so the level overshot and the deep service idled.

--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -78,7 +78,7 @@
     def read_pressure(self):
         """Return the :class:`Pressure` to report with a response."""
         now = self._read_clock()
-        return self._meter.read(now, len(self._queue), self._slots)
+        return self._meter.read(now, self._in_flight + self.queued)
 
     def set_slots(self, slots):
         """Take over the slots of a renewed announcement."""
@@ -171,7 +171,6 @@
         )
         applied = map(self._apply, judged)
         decisions.extend(_steps.fill_slots(applied, self._has_room))
-        self._meter.note_queue(len(self._queue))
         return decisions
 
     def drop_late(self):
@@ -237,6 +236,7 @@
     def _begin(self, ticket, now):
         ticket.started_at = now
         self._in_flight += 1
+        self._meter.note_start()
 
     def _shed(self, ticket, verdict):
         self._meter.note_shed()
