--- a/daemon/src/cactusloftd/_owner.py
+++ b/daemon/src/cactusloftd/_owner.py
@@ -30,15 +30,17 @@
     :param config: :class:`_config.Config`.
     :param guards: :class:`_guards.Guards`.
     :param log: :class:`events.EventLog`.
+    :param metrics: :class:`_metrics.Metrics`.
     :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, config, guards, log, now):
+    def __init__(self, config, guards, log, metrics, now):
         self._config = config
         self._flow = guards.flow
         self._marks = guards.marks
         self._retries = guards.retries
         self._log = log
+        self._metrics = metrics
         self._now = now
         self._server = announcements.LocalServer()
         self._delivery = None
@@ -63,6 +65,11 @@
         """Return the number of calls that run or wait for a slot."""
         return self._gate.held if self._gate else 0
 
+    @property
+    def admission(self):
+        """Return the :class:`controller.Admission`, or None."""
+        return self._gate.admission if self._gate else None
+
     @property
     def has_free_slot(self):
         """Tell whether a call would start at once."""
@@ -180,6 +187,7 @@
         gate, fingerprint = self._gate, call.context.fingerprint
         ticket = self._make_ticket(call, is_alone)
         is_started = False
+        waits_since = self._now()
         try:
             verdict = await gate.enter(ticket)
             is_started = verdict is _G.STARTED
@@ -188,6 +196,11 @@
                 await self._marks.return_claim(fingerprint)
         if not is_started:
             return self._refuse(call, verdict)
+        self._metrics.record(
+            'cactusloft_queue_wait_seconds',
+            self._now() - waits_since,
+            call.context.priority.name.lower(),
+        )
         if not is_alone and not self._marks.is_ordinary(fingerprint):
             gate.leave(ticket, _O.ERROR, 0.0)
             return None
@@ -294,6 +307,7 @@
         if self._tokens.pop(run.token, None) is None:
             return
         run.gate.leave(run.ticket, run.outcome, run.latency_s)
+        self._metrics.count('cactusloft_deliveries_total', run.outcome.value)
         self._retries.forget_nested(call.context.call_id)
         if run.ticket.alone and run.is_answered and not run.is_lost:
             self._marks.report_success(call.context.fingerprint)
