Add the measurement of added latency and of a daemon's cost

Processor time of the daemons for a call is measured beside, because the latency percentiles follow the load of the machine.

--- a/bench/src/cactusloft_bench/_fleet.py
+++ b/bench/src/cactusloft_bench/_fleet.py
@@ -12,8 +12,10 @@
 import aiohttp
 
 from cactusloft_bench import _hosts
+from cactusloft_bench import _operator
 from cactusloft_bench import _processes
 from cactusloft_bench import _requests
+from cactusloft_bench import _timeline
 
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
@@ -24,14 +26,26 @@
 
     :param hosts: iterable of :class:`_hosts.Host`; at least one is a control
         host.
-    :param document: text of the document.
+    :param document: text of the document. It is applied through the control
+        replicas, which start on the control hosts.
     :param log_level: log level of the daemons.
+    :param is_profiled: whether the daemons run under a profiler, which
+        writes its figures when they stop.
     """
 
-    def __init__(self, hosts, document, log_level='info'):
+    def __init__(
+        self,
+        hosts,
+        document,
+        log_level='info',
+        is_profiled=False,
+        is_replicated=False,
+    ):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='cactusloft-'))
         self._document = document
         self._log_level = log_level
+        self._is_profiled = is_profiled
+        self._is_replicated = is_replicated
         self._placed = {
             host.name: _hosts.place_host(host, number, self.folder)
             for number, host in enumerate(hosts)
@@ -46,6 +60,8 @@
                 self.start_daemon(name)
             for name in self._placed:
                 self.wait_for_daemon(name)
+            if self._is_replicated:
+                self._start_control()
             for name, placed in self._placed.items():
                 if placed.host.service:
                     self.start_stand_in(name)
@@ -73,9 +89,30 @@
         """Return the :class:`ManagedProcess` of a stand-in server."""
         return self._stand_ins[name]
 
+    def get_stand_in_url(self, name):
+        """Return the URL of a stand-in server."""
+        line = self._stand_ins[name].read_first_line(START_TIMEOUT_S)
+        return json.loads(line)['url']
+
+    def get_profile_path(self, name):
+        """Return the file of a daemon's profile."""
+        return self.folder / f'{name}.profile'
+
+    def get_operator(self, name):
+        """Return the :class:`_operator.Operator` of a daemon."""
+        return _operator.Operator(self.get_endpoint(name, 'admin'))
+
+    def merge_timeline(self):
+        """Return the events of all daemons in causal order."""
+        return _timeline.merge_events(
+            self.get_operator(name).ask('GET', '/v1/events').content or []
+            for name in self._placed
+        )
+
     def start_daemon(self, name):
         """Start the daemon of a host, also after its end."""
-        command = self._placed[name].build_daemon_command()
+        profile = self.get_profile_path(name) if self._is_profiled else None
+        command = self._placed[name].build_daemon_command(profile)
         self._daemons[name] = _processes.ManagedProcess(
             f'{name}-daemon', command, self.folder
         )
@@ -103,6 +140,21 @@
                 time.sleep(POLL_S)
         raise _processes.FleetError(f'{name} does not listen')
 
+    def wait_until(self, is_true, what):
+        """Wait for a condition of the fleet.
+
+        :param is_true: function without arguments.
+        :param what: the condition in words, for the error.
+        :raises FleetError: when it does not hold in time.
+        """
+        limit = time.monotonic() + START_TIMEOUT_S
+        while not is_true():
+            if time.monotonic() > limit:
+                raise _processes.FleetError(f'not reached: {what}')
+            for process in self._daemons.values():
+                process.check_running()
+            time.sleep(POLL_S)
+
     def wait_until_whole(self, request, names=None):
         """Wait until a request gets its complete answer at daemons.
 
@@ -119,7 +171,7 @@
 
     def fetch_records(self, name):
         """Return the records of a stand-in server as a mapping."""
-        url = f'{self._get_stand_in_url(name)}/_stand_in/records'
+        url = f'{self.get_stand_in_url(name)}/_stand_in/records'
         with urllib.request.urlopen(url, timeout=10) as response:
             return json.load(response)
 
@@ -147,6 +199,42 @@
         if failures:
             raise _processes.FleetError(f'had to kill {failures}')
 
+    def _start_control(self):
+        """Form the group of control replicas and apply the document."""
+        first, *others = self._list_control_names()
+        accepted = self.get_operator(first).ask(
+            'POST', '/v1/replica/bootstrap'
+        )
+        _check_accepted(accepted, 'bootstrap')
+        for name in others:
+            operator = self.get_operator(name)
+            _check_accepted(operator.ask('POST', '/v1/replica/add'), 'add')
+            replica_id = operator.read_status()['replica_id']
+            self.wait_until(
+                lambda: self._is_voter(first, replica_id), 'replica added'
+            )
+        applied = self.get_operator(first).apply(0, 'fleet', self._document)
+        _check_accepted(applied, 'document')
+        self.wait_for_version(1)
+
+    def wait_for_version(self, version):
+        """Wait until every daemon has a confirmed document version."""
+        for name in self._placed:
+            operator = self.get_operator(name)
+            self.wait_until(
+                lambda: _has_version(operator.read_status(), version),
+                f'document {version} at {name}',
+            )
+
+    def _is_voter(self, name, replica_id):
+        replicas = self.get_operator(name).read_status()['replicas']
+        return any(
+            r['replica_id'] == replica_id and r['is_voter'] for r in replicas
+        )
+
+    def _list_control_names(self):
+        return [n for n, p in self._placed.items() if p.host.is_control]
+
     def _write_files(self):
         document_path = self.folder / 'document.ini'
         document_path.write_text(self._document)
@@ -154,9 +242,8 @@
         (self.folder / 'allowed_keys').write_text('\n'.join(keys) + '\n')
         control = [p for p in self._placed.values() if p.host.is_control]
         for placed in self._placed.values():
-            _hosts.write_settings(
-                placed, control, document_path, self._log_level
-            )
+            path = '' if self._is_replicated else document_path
+            _hosts.write_settings(placed, control, self._log_level, path)
 
     async def _wait_until_whole(self, request, names):
         limit = time.monotonic() + START_TIMEOUT_S
@@ -178,13 +265,9 @@
             url = self.get_callers_url(name)
             return await _requests.send_attempt(session, url, request)
 
-    def _get_stand_in_url(self, name):
-        line = self._stand_ins[name].read_first_line(START_TIMEOUT_S)
-        return json.loads(line)['url']
-
     def _command(self, name, method, path, fields):
         request = urllib.request.Request(
-            f'{self._get_stand_in_url(name)}/_stand_in/{path}',
+            f'{self.get_stand_in_url(name)}/_stand_in/{path}',
             data=json.dumps(fields).encode(),
             headers={'Content-Type': 'application/json'},
             method=method,
@@ -192,6 +275,15 @@
         urllib.request.urlopen(request, timeout=10).close()
 
 
+def _has_version(status, version):
+    return status.get('is_fresh', False) and status['version'] >= version
+
+
+def _check_accepted(answer, what):
+    if not answer.is_accepted:
+        raise _processes.FleetError(f'{what} was refused: {answer}')
+
+
 def _stop_quietly(process):
     """Stop a process; return its name when it had to be killed."""
     try:
--- a/bench/src/cactusloft_bench/_hosts.py
+++ b/bench/src/cactusloft_bench/_hosts.py
@@ -44,10 +44,16 @@
     key_pair: link.KeyPair
     folder: object
 
-    def build_daemon_command(self):
-        """Return the command that starts the daemon."""
+    def build_daemon_command(self, profile=None):
+        """Return the command that starts the daemon.
+
+        :param profile: file for the figures of a profiler, or None.
+        """
         settings = str(self.folder / 'daemon.ini')
-        return [sys.executable, '-m', 'cactusloftd.main', settings]
+        command = [sys.executable]
+        if profile is not None:
+            command += ['-m', 'cProfile', '-o', str(profile)]
+        return [*command, '-m', 'cactusloftd.main', settings]
 
     def build_stand_in_command(self):
         """Return the command that starts the stand-in server."""
@@ -91,7 +97,7 @@
     )
 
 
-def write_settings(placed, control, document_path, log_level):
+def write_settings(placed, control, log_level, document_path):
     """Write the settings of a host's daemon.
 
     :param control: :class:`PlacedHost` of each control host.
@@ -114,9 +120,10 @@
         '[control_hosts]',
         *(_render_control_host(other) for other in control),
         '[control]',
-        f'document_file = {document_path}',
     ]
-    if host.is_control:
+    if document_path:
+        lines.append(f'document_file = {document_path}')
+    elif host.is_control:
         lines.append(f'data_folder = {placed.folder / "data"}')
     path = placed.folder / 'daemon.ini'
     path.touch(mode=0o600)
--- /dev/null
+++ b/bench/src/cactusloft_bench/_operator.py
@@ -0,0 +1,69 @@
+"""Requests of an operator to the admin listener of a daemon."""
+
+import http.client
+import json
+
+import attrs
+
+from cactusloft_bench import _hosts
+
+TIMEOUT_S = 15.0
+
+
+@attrs.frozen
+class OperatorAnswer:
+    """Answer of an admin listener.
+
+    :ivar status: HTTP status, 0 when the daemon cannot be reached.
+    :ivar content: decoded JSON, or None.
+    """
+
+    status: int
+    content: object = None
+
+    @property
+    def is_accepted(self):
+        """Whether the request was accepted."""
+        return 200 <= self.status < 300
+
+
+class Operator:
+    """Operator of one daemon.
+
+    :param endpoint: ``IP:port`` of its admin listener.
+    """
+
+    def __init__(self, endpoint):
+        self._endpoint = endpoint
+
+    def ask(self, method, path, body=None):
+        """Send a request and return its :class:`OperatorAnswer`."""
+        connection = http.client.HTTPConnection(
+            self._endpoint, timeout=TIMEOUT_S
+        )
+        token = _hosts.OPERATOR_TOKEN
+        headers = {'Authorization': f'Bearer {token}'}
+        content = None if body is None else json.dumps(body)
+        try:
+            connection.request(method, path, content, headers)
+            response = connection.getresponse()
+            text = response.read()
+            return OperatorAnswer(response.status, json.loads(text or 'null'))
+        except (OSError, http.client.HTTPException):
+            return OperatorAnswer(0)
+        finally:
+            connection.close()
+
+    def read_status(self):
+        """Return the state of the daemon as a mapping, empty if unknown."""
+        answer = self.ask('GET', '/v1/status')
+        return answer.content if answer.is_accepted else {}
+
+    def apply(self, base_version, change_id, text):
+        """Apply a document and return the :class:`OperatorAnswer`."""
+        body = {
+            'base_version': base_version,
+            'change_id': change_id,
+            'text': text,
+        }
+        return self.ask('POST', '/v1/document', body)
