Wire the replicated document into the daemon

Cause: daemons read the document from a file, so a change could neither be made nor be confirmed as current.

The control replica runs over the peer links. A relay takes answers of replicas only, so that relays cannot confirm each other. Operators' requests go to the leader over at most one control host and are repeated under the same change id.

Excluded: changing the source of members; attach() on the watcher and on the watch server relays them as opaque tables. A fixed document_file stays possible and bypasses the replicas.

--- /dev/null
+++ b/daemon/src/cactusloftd/_control.py
@@ -0,0 +1,253 @@
+"""Control replica role, and operators' requests to the control leader."""
+
+import random
+import secrets
+import time
+
+import attrs
+import msgspec
+from returns import pipeline
+
+from cactusloft_consensus import documents
+from cactusloft_consensus import messages as consensus_messages
+from cactusloft_consensus import node as consensus_node
+from cactusloft_consensus import replica as consensus_replica
+from cactusloft_consensus import storage
+import cactusloft_link as link
+from cactusloft_model import document
+from cactusloft_model import errors
+from cactusloft_model import events
+from cactusloftd import _calls
+from cactusloftd import _messages
+from cactusloftd import _watch_server
+
+SEND_TIMEOUT_S = 1.0
+APPLY_TIMEOUT_S = 5.0
+FORWARD_TIMEOUT_S = 6.0
+CONNECT_WAIT_S = 0.5
+# Operators' requests wait this long for a leader, which outlasts an election.
+LEADER_WAIT_S = 8.0
+LEADER_POLL_S = 0.2
+_E = errors.ErrorKind
+_V = events.Event
+
+
+@attrs.frozen
+class Applied:
+    """Answer to an accepted change."""
+
+    version: int
+
+
+@attrs.frozen
+class ReplicaView:
+    """State of a control replica for operators.
+
+    :ivar match: synced index as the leader knows it, or None.
+    """
+
+    replica_id: str
+    daemon: str
+    is_voter: bool
+    is_leader: bool
+    match: int | None
+
+
+def make_address(settings):
+    """Return the address under which other replicas reach this daemon."""
+    public_key = settings.security.key_pair.public.decode()
+    return f'{settings.name} {settings.listeners.peers} {public_key}'
+
+
+class Control:
+    """Run the control replica of this daemon.
+
+    :param settings: :class:`_settings.Settings` with a data folder.
+    :param peer_node: :class:`link.Node`.
+    :param log: :class:`events.EventLog`.
+    :param on_change: function called when the document may have changed.
+    :raises storage.StorageError: when the data folder cannot be used.
+    """
+
+    def __init__(self, settings, peer_node, log, on_change):
+        self._node = peer_node
+        self._log = log
+        self._own_address = make_address(settings)
+        self._addresses = {}
+        files = storage.FolderFiles(settings.data_folder)
+        opened, persisted = storage.open_storage(files, secrets.token_bytes)
+        protocol = consensus_node.Node(
+            persisted,
+            consensus_node.Timing(),
+            random.SystemRandom(),
+            time.monotonic(),
+        )
+        self.replica = consensus_replica.Replica(
+            protocol,
+            opened,
+            documents.DocumentStore(),
+            self._send,
+            time.monotonic,
+            on_change,
+            self._report_failure,
+        )
+        peer_node.handle_requests(_messages.ReplicaMessage, self._receive)
+
+    def start(self):
+        """Start the replica."""
+        self.replica.start()
+        self._log.record(
+            _V.REPLICA_STARTED, replica_id=self.replica.replica_id
+        )
+
+    async def close(self):
+        """Stop the replica."""
+        await self.replica.close()
+
+    def find_source(self):
+        """Return the :class:`Source` of this replica, or None."""
+        confirmed_at = self.replica.confirmed_at
+        if confirmed_at is None:
+            return None
+        store = self.replica.store
+        return _watch_server.Source(
+            store.version, confirmed_at, 0, store.find_text
+        )
+
+    def bootstrap(self):
+        """Make this replica a group of one."""
+        return self.replica.bootstrap(self._own_address)
+
+    def make_join_request(self):
+        """Return the request that adds this replica to the group."""
+        return _messages.ReplicaChange(
+            self.replica.replica_id, self._own_address, False
+        )
+
+    def list_replicas(self):
+        """Return a :class:`ReplicaView` of each member of the group."""
+        matches = self.replica.list_matches()
+        leader = self.replica.leader
+        return [
+            ReplicaView(
+                replica_id=member.replica_id,
+                daemon=member.address.split()[0],
+                is_voter=member.is_voter,
+                is_leader=member == leader,
+                match=matches.get(member.replica_id),
+            )
+            for member in self.replica.members
+        ]
+
+    def find_leader_address(self):
+        """Return the link address of the leader, or None."""
+        leader = self.replica.leader
+        if leader is None or leader.replica_id == self.replica.replica_id:
+            return None
+        return _parse_address(leader.address)
+
+    async def decide(self, request):
+        """Carry out an operator's request on the leader.
+
+        :returns: :class:`ControlAnswer`.
+        """
+        if isinstance(request, _messages.ApplyRequest):
+            return await self._apply(request)
+        if isinstance(request, _messages.HistoryRequest):
+            return make_answer(self.replica.store.list_revisions())
+        if request.address:
+            outcome = await self.replica.add_member(
+                request.replica_id, request.address, APPLY_TIMEOUT_S
+            )
+        else:
+            outcome = await self.replica.remove_member(
+                request.replica_id, APPLY_TIMEOUT_S
+            )
+        if not pipeline.is_successful(outcome):
+            return refuse(outcome.failure())
+        self._log.record(
+            _V.REPLICAS_CHANGED,
+            replica_id=request.replica_id,
+            is_added=bool(request.address),
+        )
+        return make_answer(self.list_replicas())
+
+    async def _apply(self, request):
+        parsed = document.parse_document(request.text)
+        if not pipeline.is_successful(parsed):
+            detail = '; '.join(str(fault) for fault in parsed.failure())
+            return self._refuse_change(request, _E.DOCUMENT_INVALID, detail)
+        change = documents.Change.pack(
+            request.base_version,
+            request.change_id,
+            time.time_ns() // 10**6,
+            request.text,
+        )
+        outcome = await self.replica.apply(change, APPLY_TIMEOUT_S)
+        if not pipeline.is_successful(outcome):
+            error = outcome.failure()
+            return self._refuse_change(request, error.kind, error.detail)
+        decided = outcome.unwrap()
+        if decided.kind is not documents.OutcomeKind.ACCEPTED:
+            detail = f'version {decided.version} is in force'
+            if decided.kind is documents.OutcomeKind.CHANGE_ID_REUSED:
+                detail = 'the change id belongs to another change'
+            return self._refuse_change(request, _E.VERSION_CONFLICT, detail)
+        self._log.record(
+            _V.DOCUMENT_APPLIED,
+            version=decided.version,
+            change_id=request.change_id,
+        )
+        return make_answer(Applied(decided.version))
+
+    def _refuse_change(self, request, kind, detail):
+        self._log.record(
+            _V.DOCUMENT_REFUSED,
+            change_id=request.change_id,
+            base_version=request.base_version,
+            fault=detail,
+        )
+        return refuse(errors.CallError(kind, detail))
+
+    def _report_failure(self, reason):
+        self._log.record(_V.REPLICA_FAILED, reason=reason)
+
+    def _send(self, envelope):
+        member = self.replica.find_member(envelope.target)
+        text = member.address if member else None
+        # A new replica does not know the members before its first snapshot.
+        text = text or self._addresses.get(envelope.target)
+        if text is None:
+            return
+        message = _messages.ReplicaMessage(
+            self._own_address, consensus_messages.encode_message(envelope)
+        )
+        peer = self._node.connect(_parse_address(text))
+        self._node.spawn(peer.request(message, SEND_TIMEOUT_S))
+
+    async def _receive(self, message, _age_s):
+        envelope = consensus_messages.decode_message(message.content)
+        self._addresses[envelope.sender] = message.address
+        self.replica.receive(envelope)
+        return _messages.Taken()
+
+
+def _parse_address(text):
+    _, endpoint, public_key = text.split()
+    return link.PeerAddress(endpoint, public_key)
+
+
+def make_answer(content):
+    """Return a :class:`ControlAnswer` with ``content`` as JSON."""
+    return _messages.ControlAnswer(None, msgspec.json.encode(content))
+
+
+def refuse(error):
+    """Return a :class:`ControlAnswer` for a :class:`CallError`."""
+    refusal = _messages.Refusal(error.kind, error.detail, error.not_run)
+    return _messages.ControlAnswer(refusal, b'')
+
+
+def refuse_unavailable(detail):
+    """Return the answer for an operator when no leader is known."""
+    return refuse(_calls.fail(_E.CONTROL_UNAVAILABLE, detail).failure())
--- /dev/null
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -0,0 +1,107 @@
+"""All parts of a daemon that concern control, put together."""
+
+import asyncio
+import random
+
+from cactusloftd import _admin
+from cactusloftd import _control
+from cactusloftd import _installed
+from cactusloftd import _messages
+from cactusloftd import _operators
+from cactusloftd import _watch
+from cactusloftd import _watch_server
+
+
+class ControlPlane:
+    """Replica, watch client and server, and operator listener.
+
+    :ivar installed: the document in force, a ``_config.Config``.
+    :ivar watcher: watch client, to which tables are attached.
+    :ivar server: watch server, to which owners of tables are attached.
+    :ivar admin: operator listener.
+    :param settings: :class:`_settings.Settings`.
+    :param node: :class:`link.Node`.
+    :param log: :class:`events.EventLog`.
+    :param now: function that returns monotonic seconds.
+    :param list_members: function that returns the known registrations.
+    :param owner: :class:`_owner.Owner`.
+    """
+
+    def __init__(self, settings, node, log, now, list_members, owner):
+        self.installed = _installed.Installed(log, now)
+        self._node = node
+        self._task = None
+        self._control = None
+        if settings.data_folder:
+            self._control = _control.Control(
+                settings, node, log, self._note_replicated
+            )
+        self.watcher = _watch.Watcher(
+            settings,
+            node,
+            self.installed,
+            log,
+            now,
+            random.Random(),
+            self._find_replica_source,
+            self._note_installed,
+        )
+        self.server = _watch_server.WatchServer(self._find_source, now)
+        self._operators = _operators.Operators(
+            settings, node, self._control, now
+        )
+        self.admin = _admin.Admin(
+            settings,
+            self.installed,
+            self._operators,
+            self._control,
+            list_members,
+            owner,
+            log,
+        )
+
+    @property
+    def leads(self):
+        """Tell whether this daemon is the control leader."""
+        return self._control is not None and self._control.replica.is_leader
+
+    def start(self):
+        """Start the replica, the watch and the handlers of peer requests."""
+        self._node.handle_requests(_messages.Watch, self.server.answer)
+        self._operators.start()
+        if self._control is not None:
+            self._control.start()
+        self._task = asyncio.create_task(self.watcher.run())
+
+    async def close(self):
+        """Stop the watch and the replica."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._control is not None:
+            await self._control.close()
+
+    def _find_replica_source(self):
+        return self._control.find_source() if self._control else None
+
+    def _find_source(self):
+        """Return the state with the latest confirmation."""
+        relayed = _watch_server.Source(
+            self.installed.version,
+            self.installed.confirmed_at,
+            self.watcher.relays,
+            self.installed.find_text,
+        )
+        replicated = self._find_replica_source()
+        if replicated is None:
+            return relayed
+        confirmed_at = relayed.confirmed_at or 0.0
+        is_later = replicated.confirmed_at >= confirmed_at
+        return replicated if is_later else relayed
+
+    def _note_replicated(self):
+        self.watcher.take_local()
+        self.server.notify()
+
+    def _note_installed(self):
+        self.server.notify()
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -8,6 +8,7 @@
 import cactusloft_link as link
 from cactusloft_model import calls
 from cactusloft_model import errors
+from cactusloftd import _deltas
 
 
 @attrs.frozen
@@ -95,6 +96,122 @@
     members: tuple[Register, ...]
 
 
+@attrs.frozen
+class ReplicaMessage:
+    """A message of the replicated log; no answer is awaited.
+
+    :ivar address: where the sender is reached, see ``_control``.
+    :ivar content: encoded envelope of the consensus library.
+    """
+
+    address: str
+    content: bytes
+
+
+@attrs.frozen
+class Taken:
+    """Receipt of a message whose answer, if any, comes separately."""
+
+
+@attrs.frozen
+class TableRequest:
+    """What a daemon says and knows about one relayed table.
+
+    :ivar known: version that it holds from this control host, or 0.
+    :ivar content: opaque report to the owner of the table.
+    """
+
+    name: str
+    known: int
+    content: bytes
+
+
+@attrs.frozen
+class Table:
+    """Relayed state whose content only its owner reads."""
+
+    name: str
+    version: int
+    content: bytes
+
+
+@attrs.frozen
+class Watch:
+    """A long poll of a daemon at a control host.
+
+    :ivar version: installed version of the document.
+    :ivar hold_ms: longest wait for a change.
+    """
+
+    daemon: str
+    version: int
+    hold_ms: int
+    tables: tuple[TableRequest, ...]
+
+
+@attrs.frozen
+class WatchAnswer:
+    """State of a control host.
+
+    :ivar version: version of the document in force there.
+    :ivar age_s: seconds since its confirmation, or None without one.
+    :ivar relays: control hosts between this state and a control replica.
+    :ivar text: whole document, when it was asked for and no delta fits.
+    :ivar delta: difference from the asker's version.
+    """
+
+    version: int
+    age_s: float | None
+    relays: int
+    text: str | None
+    delta: _deltas.Delta | None
+    tables: tuple[Table, ...]
+
+
+@attrs.frozen
+class ApplyRequest:
+    """An operator's change of the document.
+
+    :ivar is_forwarded: whether another control host has passed it on.
+    """
+
+    base_version: int
+    change_id: str
+    text: str
+    is_forwarded: bool
+
+
+@attrs.frozen
+class HistoryRequest:
+    """Ask for the history of the document."""
+
+    is_forwarded: bool
+
+
+@attrs.frozen
+class ReplicaChange:
+    """Add or remove a control replica.
+
+    :ivar address: where a new replica is reached, empty to remove.
+    """
+
+    replica_id: str
+    address: str
+    is_forwarded: bool
+
+
+@attrs.frozen
+class ControlAnswer:
+    """Answer to an operator's request.
+
+    :ivar refusal: why it failed, or None.
+    :ivar content: JSON document for the operator.
+    """
+
+    refusal: Refusal | None
+    content: bytes
+
+
 CODEC = link.Codec(
     {
         1: CallStart,
@@ -103,5 +220,13 @@
         4: Refusal,
         10: Register,
         11: Registrations,
+        20: ReplicaMessage,
+        21: Taken,
+        22: Watch,
+        23: WatchAnswer,
+        24: ApplyRequest,
+        25: HistoryRequest,
+        26: ReplicaChange,
+        27: ControlAnswer,
     }
 )
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -15,6 +15,7 @@
 from cactusloftd import _backend
 from cactusloftd import _callers
 from cactusloftd import _config
+from cactusloftd import _control_plane
 from cactusloftd import _entry
 from cactusloftd import _http
 from cactusloftd import _http_server
@@ -60,10 +61,17 @@
             self._node, settings.control_hosts, self._describe, random.Random()
         )
         self._registry = _members.Registry(now)
-        text = pathlib.Path(settings.document_file).read_text()
+        self._plane = _control_plane.ControlPlane(
+            settings,
+            self._node,
+            self._log,
+            now,
+            self._members.list_members,
+            self._owner,
+        )
         self._entry = _entry.Entry(
             settings.name,
-            _config.FileConfig(text),
+            _choose_config(settings, self._plane),
             self._owner,
             self._members,
             self._log,
@@ -89,11 +97,13 @@
         listeners = self._settings.listeners
         self._node.handle_streams(_messages.CallStart, self._call_server.serve)
         self._node.handle_requests(_messages.Register, self._registry.register)
+        self._plane.start()
         self._node.listen(listeners.peers)
         callers = _callers.Callers(self._entry, self._exchanges, self._log)
         backend = _backend.Backend(self._entry, self._owner, self._exchanges)
         await self._listen(listeners.callers, callers.handle)
         await self._listen(listeners.backend, backend.handle)
+        await self._listen(listeners.admin, self._plane.admin.handle)
 
     async def _listen(self, endpoint, handler):
         runner = web.ServerRunner(_http_server.HttpServer(handler, self._log))
@@ -119,6 +129,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._owner.close()
+        await self._plane.close()
         self._node.close()
 
     def _describe(self):
@@ -141,3 +152,11 @@
         self._log.record(
             _LINK_EVENTS.get(name, _V.REQUEST_MALFORMED), **fields
         )
+
+
+def _choose_config(settings, plane):
+    """Return the source of the document: a fixed file, or the replicas."""
+    if not settings.document_file:
+        return plane.installed
+    text = pathlib.Path(settings.document_file).read_text()
+    return _config.FileConfig(text)
--- a/daemon/src/cactusloftd/main.py
+++ b/daemon/src/cactusloftd/main.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from cactusloft_consensus import storage
 from cactusloftd import _settings
 from cactusloftd import _wiring
 
@@ -43,7 +44,7 @@
     configure_logging(settings.log_level)
     try:
         asyncio.run(_run(settings))
-    except OSError as error:
+    except (OSError, storage.StorageError) as error:
         print(f'cactusloftd: {error}', file=sys.stderr)
         return EXIT_FAILED
     return EXIT_OK
--- /dev/null
+++ b/daemon/tests/test_control_failures.py
@@ -0,0 +1,174 @@
+"""Failure tests of the document's way with real daemon processes."""
+
+import http.client
+import json
+import threading
+
+from cactusloft_model import keys
+
+REPLICAS = ('c1', 'c2', 'c3')
+KEY = 'clk_withdrawn'
+
+DOCUMENT = """
+[client_account estates]
+rate = 1000
+burst = 1000
+key_hashes = {key_hashes}
+
+[service booking]
+
+[route book]
+service = booking
+method = GET
+path = /bookings
+idempotent = yes
+"""
+
+
+def _make_document(key=KEY, note=''):
+    return DOCUMENT.format(key_hashes=keys.hash_key(key)) + f'# {note}\n'
+
+
+class _Caller:
+    """A caller that keeps one connection open."""
+
+    def __init__(self, process):
+        self._connection = http.client.HTTPConnection(
+            '127.0.0.1', process.ports['callers'], timeout=15
+        )
+        self._connection.connect()
+        self._socket = self._connection.sock
+
+    def call(self):
+        """Return the kind of the refusal; no backend server is announced."""
+        headers = {'Authorization': f'Bearer {KEY}'}
+        self._connection.request('GET', '/bookings', headers=headers)
+        response = self._connection.getresponse()
+        kind = json.loads(response.read())['kind']
+        assert self._connection.sock is self._socket, 'connection was closed'
+        return kind
+
+
+def _is_accepted(caller):
+    return caller.call() == 'no_backend_server'
+
+
+def test_withdrawn_key_on_open_connection(make_fleet, wait):
+    """A connected caller must not go on with a withdrawn key.
+
+    Both daemons hold an open connection. The second one watches a relay that
+    is stopped with SIGSTOP before the key is withdrawn, so that it never
+    hears of the change.
+    """
+    fleet = make_fleet(REPLICAS, relays=['r1'], plain=['d1'])
+    leader = fleet.find_leader()
+    assert leader.apply(0, 'first', _make_document())[0] == 200
+    behind_replica, behind_relay = (
+        _Caller(fleet.replicas[1]),
+        _Caller(fleet.plain[0]),
+    )
+    wait(lambda: _is_accepted(behind_replica))
+    wait(lambda: _is_accepted(behind_relay))
+    fleet.relays[0].freeze()
+    withdrawn = _make_document('clk_other')
+    assert leader.apply(1, 'second', withdrawn)[0] == 200
+    wait(lambda: behind_replica.call() == 'unauthenticated')
+    wait(lambda: behind_relay.call() == 'config_stale')
+    assert fleet.plain[0].read_status()['version'] == 1
+
+
+def test_daemon_moves_to_another_control_host(make_fleet, wait):
+    """A frozen control host must not hold its daemons back.
+
+    Each relay is frozen in turn, so one of them is the one in use.
+    """
+    fleet = make_fleet(REPLICAS, relays=['r1', 'r2'], plain=['d1'])
+    operator, caller = fleet.replicas[0], _Caller(fleet.plain[0])
+    for number, relay in enumerate(fleet.relays):
+        relay.freeze()
+        text = _make_document()
+        assert operator.apply(2 * number, f'give-{number}', text)[0] == 200
+        wait(lambda: _is_accepted(caller))
+        text = _make_document('clk_other')
+        answer = operator.apply(2 * number + 1, f'withdraw-{number}', text)
+        assert answer[0] == 200
+        wait(lambda: caller.call() == 'unauthenticated')
+        relay.resume()
+
+
+def test_leader_killed_while_changes_are_applied(make_fleet, wait):
+    """An acknowledged change must survive its leader, once only."""
+    fleet = make_fleet(REPLICAS, plain=['d1'])
+    operator, versions = fleet.plain[0], []
+
+    def apply_all():
+        for number in range(40):
+            text = _make_document(note=number)
+            status, answer = 0, {}
+            while status != 200:
+                # The same change id makes the resend harmless.
+                status, answer = operator.apply(
+                    number, f'change-{number}', text
+                ) or (0, {})
+                assert status in (0, 200, 503), answer
+            versions.append(answer['version'])
+
+    applying = threading.Thread(target=apply_all)
+    applying.start()
+    wait(lambda: len(versions) > 10)
+    leader = fleet.find_leader()
+    leader.kill()
+    applying.join()
+    assert versions == list(range(1, 41))
+    wait(lambda: operator.read_status()['version'] == 40)
+    leader.start()
+    wait(lambda: leader.read_status().get('version') == 40)
+
+
+def test_operators_with_the_same_base(make_fleet):
+    """Of racing operators exactly one may succeed."""
+    fleet = make_fleet(REPLICAS)
+    answers = {}
+
+    def apply(process):
+        text = _make_document(note=process.name)
+        answers[process.name] = process.apply(0, process.name, text)
+
+    racing = [threading.Thread(target=apply, args=[p]) for p in fleet.replicas]
+    for thread in racing:
+        thread.start()
+    for thread in racing:
+        thread.join()
+    statuses = sorted(status for status, _ in answers.values())
+    assert statuses == [200, 409, 409]
+    winner = next(n for n, answer in answers.items() if answer[0] == 200)
+    for process in fleet.replicas:
+        apply_again = process.apply(0, winner, _make_document(note=winner))
+        assert apply_again == answers[winner], 'a resend got another answer'
+
+
+def test_restart_of_all_replicas_after_300_changes(make_fleet, wait):
+    """No daemon may step back when all control replicas restart."""
+    fleet = make_fleet(REPLICAS, plain=['d1'])
+    leader = fleet.find_leader()
+    for number in range(300):
+        text = _make_document(note=number)
+        answer = leader.apply(number, f'change-{number}', text)
+        assert answer == (200, {'version': number + 1})
+    daemon = fleet.plain[0]
+    wait(lambda: daemon.read_status()['version'] == 300)
+    for process in fleet.replicas:
+        process.kill()
+    for process in fleet.replicas:
+        process.start()
+    seen = []
+
+    def is_fresh_again():
+        statuses = [p.read_status() for p in fleet.all]
+        seen.extend(s['version'] for s in statuses if s.get('is_fresh'))
+        return all(s.get('is_fresh') for s in statuses)
+
+    wait(is_fresh_again)
+    # A restarted replica may serve only once it holds the last version.
+    assert set(seen) == {300}
+    assert daemon.apply(300, 'after', _make_document())[1] == {'version': 301}
