Add the operators' tool

A test showed a replica's DOCUMENT_INSTALLED before the leader's DOCUMENT_APPLIED in the time line. The leader recorded the event after its callers were woken; it now records it at the moment of the decision, before any other replica can learn of it, and once for resent changes.

--- /dev/null
+++ b/cli/src/cactusloft/ui/__main__.py
@@ -0,0 +1,8 @@
+"""Start of the tool with ``python -m cactusloft.ui``."""
+
+import sys
+
+from cactusloft import ui
+
+if __name__ == '__main__':
+    sys.exit(ui.main())
--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -1,5 +1,6 @@
 """Control replica role, and operators' requests to the control leader."""
 
+import functools
 import random
 import secrets
 import time
@@ -74,6 +75,7 @@
         self._log = log
         self._own_address = make_address(settings)
         self._addresses = {}
+        self._decided_version = 0
         files = storage.FolderFiles(settings.data_folder)
         opened, persisted = storage.open_storage(files, secrets.token_bytes)
         protocol = consensus_node.Node(
@@ -183,7 +185,11 @@
             time.time_ns() // 10**6,
             request.text,
         )
-        outcome = await self.replica.apply(change, APPLY_TIMEOUT_S)
+        outcome = await self.replica.apply(
+            change,
+            APPLY_TIMEOUT_S,
+            functools.partial(self._note_decided, change.change_id),
+        )
         if not pipeline.is_successful(outcome):
             error = outcome.failure()
             return self._refuse_change(request, error.kind, error.detail)
@@ -193,13 +199,19 @@
             if decided.kind is documents.OutcomeKind.CHANGE_ID_REUSED:
                 detail = 'the change id belongs to another change'
             return self._refuse_change(request, _E.VERSION_CONFLICT, detail)
-        self._log.record(
-            _V.DOCUMENT_APPLIED,
-            version=decided.version,
-            change_id=request.change_id,
-        )
         return make_answer(Applied(decided.version))
 
+    def _note_decided(self, change_id, outcome):
+        is_accepted = outcome.kind is documents.OutcomeKind.ACCEPTED
+        # A resend gets the first outcome again and changes nothing.
+        if is_accepted and outcome.version > self._decided_version:
+            self._decided_version = outcome.version
+            self._log.record(
+                _V.DOCUMENT_APPLIED,
+                version=outcome.version,
+                change_id=change_id,
+            )
+
     def _refuse_change(self, request, kind, detail):
         self._log.record(
             _V.DOCUMENT_REFUSED,
--- a/daemon/tests/conftest.py
+++ b/daemon/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import shutil
 import signal
 import socket
 import subprocess
@@ -59,6 +60,9 @@
             self._process.wait()
             self._process = None
 
+    def lose_data(self):
+        shutil.rmtree(self.settings.parent / f'{self.name}-data')
+
     def freeze(self):
         self._process.send_signal(signal.SIGSTOP)
 
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -24,6 +24,7 @@
 class _Waiter:
     term: int
     future: asyncio.Future
+    on_decided: object
 
 
 class Replica:
@@ -158,10 +159,12 @@
         self._step()
         return outcome
 
-    async def apply(self, change, timeout_s):
+    async def apply(self, change, timeout_s, on_decided):
         """Replicate a change and wait until it is decided.
 
         :param change: :class:`Change`.
+        :param on_decided: function that takes the outcome at the moment of
+            the decision, before any other replica can learn of it.
         :returns: ``Success(Outcome)``, or ``Failure(CallError)`` after which
             the change may or may not have been made; the caller resends it
             under the same change id.
@@ -169,7 +172,7 @@
         if self.failure:
             return _refuse(self.failure)
         proposed = self._node.propose(change.encode(), self._read_clock())
-        return await self._wait_for(proposed, timeout_s)
+        return await self._wait_for(proposed, timeout_s, on_decided)
 
     async def add_member(self, replica_id, address, timeout_s):
         """Add a learner; the leader promotes it once it has caught up."""
@@ -192,12 +195,12 @@
         proposed = self._node.change_members(members, self._read_clock())
         return await self._wait_for(proposed, timeout_s)
 
-    async def _wait_for(self, proposed, timeout_s):
+    async def _wait_for(self, proposed, timeout_s, on_decided=None):
         if isinstance(proposed, result.Failure):
             return proposed
         entry = proposed.unwrap()
         future = asyncio.get_running_loop().create_future()
-        self._waiters[entry.index] = _Waiter(entry.term, future)
+        self._waiters[entry.index] = _Waiter(entry.term, future, on_decided)
         self._step()
         try:
             return await asyncio.wait_for(future, timeout_s)
@@ -234,6 +237,8 @@
         if waiter is None or waiter.future.done():
             return
         if waiter.term == applied.entry.term:
+            if waiter.on_decided is not None:
+                waiter.on_decided(applied.outcome)
             waiter.future.set_result(result.Success(applied.outcome))
         else:
             refused = _refuse('another leader replaced the change')
--- a/libs/consensus/tests/test_replica.py
+++ b/libs/consensus/tests/test_replica.py
@@ -54,15 +54,17 @@
 
 
 async def _run_full_disk(tmp_path):
-    hub, failures = _Hub(), []
+    hub, failures, decided = _Hub(), [], []
     first, opened = hub.start(tmp_path / 'a', 1, failures)
     second, _ = hub.start(tmp_path / 'b', 2, failures)
     first.bootstrap('a').unwrap()
     await _wait_until(lambda: first.is_leader)
     (await first.add_member(second.replica_id, 'b', 10)).unwrap()
     await _wait_until(lambda: all(m.is_voter for m in first.members))
-    outcome = (await first.apply(_change(0, 'one'), 10)).unwrap()
-    assert outcome.version == 1
+    outcome = (
+        await first.apply(_change(0, 'one'), 10, decided.append)
+    ).unwrap()
+    assert outcome.version == 1 and decided == [outcome]
     await _wait_until(lambda: second.store.version == 1)
     assert second.confirmed_at is not None
 
@@ -70,7 +72,9 @@
         raise OSError(errno.ENOSPC, 'No space left on device')
 
     opened.persist = refuse
-    refused = (await first.apply(_change(1, 'two'), 10)).failure()
+    refused = (
+        await first.apply(_change(1, 'two'), 10, decided.append)
+    ).failure()
     assert refused.kind is errors.ErrorKind.CONTROL_UNAVAILABLE
     assert 'No space left' in failures[0]
     assert first.role == 'failed' and first.confirmed_at is None
@@ -96,7 +100,9 @@
         persist(records)
 
     opened.persist = persist_slowly
-    changes = (first.apply(_change(0, str(n)), 30) for n in range(50))
+    changes = (
+        first.apply(_change(0, str(n)), 30, lambda _: None) for n in range(50)
+    )
     outcomes = await asyncio.gather(*changes)
     accepted = documents.OutcomeKind.ACCEPTED
     kinds = [outcome.unwrap().kind for outcome in outcomes]
