--- a/cli/src/cactusloft/_client.py
+++ b/cli/src/cactusloft/_client.py
@@ -49,7 +49,7 @@
         return AdminClient((endpoint,), self._token)
 
     async def show(self):
-        """Return the :class:`DocumentView` of a daemon."""
+        """Return the :class:`DocumentView` in force."""
         return await self._ask('GET', '/v1/document', _views.DocumentView)
 
     async def apply(self, base_version, change_id, text):
--- a/cli/src/cactusloft/_views.py
+++ b/cli/src/cactusloft/_views.py
@@ -7,13 +7,9 @@
 
 @attrs.frozen
 class DocumentView:
-    """Document in force on a daemon.
-
-    :ivar is_fresh: whether the daemon knows it to be current.
-    """
+    """Document in force."""
 
     version: int
-    is_fresh: bool
     text: str
 
 
--- a/cli/src/cactusloft/ui/commands/config.py
+++ b/cli/src/cactusloft/ui/commands/config.py
@@ -74,8 +74,6 @@
     if not pipeline.is_successful(shown):
         return context.output.report(shown.failure())
     view = shown.unwrap()
-    if not view.is_fresh:
-        context.output.warn('the daemon cannot confirm this as current')
     context.output.warn(f'version {view.version}')
     return context.output.show(view, view.text.splitlines())
 
--- a/daemon/src/cactusloftd/_admin.py
+++ b/daemon/src/cactusloftd/_admin.py
@@ -44,15 +44,6 @@
     replica_id: str
 
 
-@attrs.frozen
-class DocumentView:
-    """Document in force on this daemon."""
-
-    version: int
-    is_fresh: bool
-    text: str
-
-
 @attrs.frozen
 class MemberView:
     """A daemon as this daemon knows it."""
@@ -92,19 +83,19 @@
     :param installed: :class:`_installed.Installed`.
     :param operators: :class:`_operators.Operators`.
     :param control: :class:`_control.Control`, or None.
-    :param list_members: function that returns the known registrations.
+    :param members: :class:`_members.Members`.
     :param owner: :class:`_owner.Owner`.
     :param log: :class:`events.EventLog`.
     """
 
     def __init__(
-        self, settings, installed, operators, control, list_members, owner, log
+        self, settings, installed, operators, control, members, owner, log
     ):
         self._settings = settings
         self._installed = installed
         self._operators = operators
         self._control = control
-        self._list_members = list_members
+        self._members = members
         self._owner = owner
         self._log = log
         self._actions = {
@@ -139,11 +130,7 @@
         return scheme.lower() == 'bearer' and is_equal
 
     async def _show(self, _request):
-        installed = self._installed
-        text = installed.current.text
-        return _answer(
-            DocumentView(installed.version, installed.is_fresh(), text)
-        )
+        return await self._decide(_messages.ShowRequest(False))
 
     async def _apply(self, request):
         body = await _read_json(request, ChangeBody)
@@ -184,7 +171,7 @@
         return _answer(
             StatusView(
                 name=self._settings.name,
-                version=installed.version,
+                version=installed.version.number,
                 is_fresh=installed.is_fresh(),
                 confirmation_age_s=age_s,
                 is_serving=self._owner.is_serving,
@@ -197,6 +184,7 @@
         )
 
     async def _show_members(self, _request):
+        fleet = await self._members.list_fleet()
         views = (
             MemberView(
                 name=member.name,
@@ -206,7 +194,7 @@
                 service=member.service,
                 is_serving=member.is_serving,
             )
-            for member in self._list_members()
+            for member in fleet
         )
         return _answer(sorted(views, key=lambda view: view.name))
 
--- a/daemon/src/cactusloftd/_backend.py
+++ b/daemon/src/cactusloftd/_backend.py
@@ -4,18 +4,16 @@
 while it runs a call.
 """
 
-import json
-
 from aiohttp import web
 import attrs
 import msgspec
 from returns import pipeline
 
+from cactusloft_membership import announcements
 from cactusloft_model import errors
 from cactusloftd import _calls
 from cactusloftd import _headers
 from cactusloftd import _http
-from cactusloftd import _owner
 from cactusloftd import _problems
 
 CALL_PREFIX = '/call/'
@@ -33,6 +31,18 @@
     lease_ms: int
 
 
+@attrs.frozen
+class LoadReport:
+    """Load as a backend server reports it, true or not.
+
+    :ivar load: share of its slots that it claims to be taken.
+    :ivar slots: slots that it claims to have, None when not said.
+    """
+
+    load: float = 0.0
+    slots: int | None = None
+
+
 class Backend:
     """Serve the backend server beside the daemon.
 
@@ -67,12 +77,14 @@
 
     async def _announce(self, request, body):
         try:
-            announcement = msgspec.json.decode(body, type=_owner.Announcement)
+            announcement = msgspec.json.decode(
+                body, type=announcements.Announcement
+            )
         except msgspec.DecodeError as error:
             failed = _calls.fail(_E.BAD_REQUEST, str(error))
             return _refuse(failed)
         await self._owner.announce(announcement)
-        accepted = Accepted(int(_owner.LEASE_S * 1000))
+        accepted = Accepted(int(announcements.ANNOUNCEMENT_LEASE_S * 1000))
         return web.Response(
             body=msgspec.json.encode(accepted),
             content_type='application/json',
@@ -80,10 +92,11 @@
 
     async def _report_load(self, request, body):
         try:
-            json.loads(body)
-        except ValueError as error:
+            report = msgspec.json.decode(body, type=LoadReport)
+        except msgspec.DecodeError as error:
             failed = _calls.fail(_E.BAD_REQUEST, str(error))
             return _refuse(failed)
+        self._owner.report_load(report.load, report.slots)
         return web.Response(status=204)
 
     async def _drain(self, _request, _body):
--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -20,7 +20,6 @@
 from cactusloft_model import events
 from cactusloftd import _calls
 from cactusloftd import _messages
-from cactusloftd import _watch_server
 
 SEND_TIMEOUT_S = 1.0
 APPLY_TIMEOUT_S = 5.0
@@ -40,6 +39,14 @@
     version: int
 
 
+@attrs.frozen
+class DocumentView:
+    """Document in force, as the operator gave it."""
+
+    version: int
+    text: str
+
+
 @attrs.frozen
 class ReplicaView:
     """State of a control replica for operators.
@@ -106,16 +113,6 @@
         """Stop the replica."""
         await self.replica.close()
 
-    def find_source(self):
-        """Return the :class:`Source` of this replica, or None."""
-        confirmed_at = self.replica.confirmed_at
-        if confirmed_at is None:
-            return None
-        store = self.replica.store
-        return _watch_server.Source(
-            store.version, confirmed_at, 0, store.find_text
-        )
-
     def bootstrap(self):
         """Make this replica a group of one."""
         return self.replica.bootstrap(self._own_address)
@@ -155,8 +152,11 @@
         """
         if isinstance(request, _messages.ApplyRequest):
             return await self._apply(request)
+        store = self.replica.store
         if isinstance(request, _messages.HistoryRequest):
-            return make_answer(self.replica.store.list_revisions())
+            return make_answer(store.list_revisions())
+        if isinstance(request, _messages.ShowRequest):
+            return make_answer(DocumentView(store.version, store.text))
         if request.address:
             outcome = await self.replica.add_member(
                 request.replica_id, request.address, APPLY_TIMEOUT_S
@@ -256,7 +256,7 @@
 
 def refuse(error):
     """Return a :class:`ControlAnswer` for a :class:`CallError`."""
-    refusal = _messages.Refusal(error.kind, error.detail, error.not_run)
+    refusal = _messages.Refusal(error.kind, error.detail, error.not_run, 0.0)
     return _messages.ControlAnswer(refusal, b'')
 
 
--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -13,23 +13,24 @@
 
 
 class ControlPlane:
-    """Replica, watch client and server, and operator listener.
+    """Replica, watch client and server, and operators' requests.
 
     :ivar installed: the document in force, a ``_config.Config``.
     :ivar watcher: watch client, to which tables are attached.
     :ivar server: watch server, to which owners of tables are attached.
-    :ivar admin: operator listener.
     :param settings: :class:`_settings.Settings`.
     :param node: :class:`link.Node`.
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
-    :param list_members: function that returns the known registrations.
-    :param owner: :class:`_owner.Owner`.
+    :param members: :class:`_members.Members`.
     """
 
-    def __init__(self, settings, node, log, now, list_members, owner):
+    def __init__(self, settings, node, log, now, members):
         self.installed = _installed.Installed(log, now)
+        self._settings = settings
         self._node = node
+        self._log = log
+        self._members = members
         self._task = None
         self._control = None
         if settings.data_folder:
@@ -43,21 +44,29 @@
             log,
             now,
             random.Random(),
-            self._find_replica_source,
+            self._control.replica if self._control else None,
             self._note_installed,
         )
-        self.server = _watch_server.WatchServer(self._find_source, now)
+        self.server = _watch_server.WatchServer(
+            self.installed, self.watcher, now
+        )
         self._operators = _operators.Operators(
             settings, node, self._control, now
         )
-        self.admin = _admin.Admin(
-            settings,
+
+    def make_admin(self, owner):
+        """Return the operator listener.
+
+        :param owner: :class:`_owner.Owner`.
+        """
+        return _admin.Admin(
+            self._settings,
             self.installed,
             self._operators,
             self._control,
-            list_members,
+            self._members,
             owner,
-            log,
+            self._log,
         )
 
     @property
@@ -81,24 +90,6 @@
         if self._control is not None:
             await self._control.close()
 
-    def _find_replica_source(self):
-        return self._control.find_source() if self._control else None
-
-    def _find_source(self):
-        """Return the state with the latest confirmation."""
-        relayed = _watch_server.Source(
-            self.installed.version,
-            self.installed.confirmed_at,
-            self.watcher.relays,
-            self.installed.find_text,
-        )
-        replicated = self._find_replica_source()
-        if replicated is None:
-            return relayed
-        confirmed_at = relayed.confirmed_at or 0.0
-        is_later = replicated.confirmed_at >= confirmed_at
-        return replicated if is_later else relayed
-
     def _note_replicated(self):
         self.watcher.take_local()
         self.server.notify()
--- a/daemon/src/cactusloftd/_installed.py
+++ b/daemon/src/cactusloftd/_installed.py
@@ -7,6 +7,7 @@
 
 import collections
 
+import attrs
 from returns import pipeline
 
 from cactusloft_model import document
@@ -15,10 +16,33 @@
 # Revocation of a key takes effect within this time everywhere, because a
 # daemon without a younger confirmation refuses keyed routes.
 FRESHNESS_BOUND_S = 5.0
-KEPT_TEXTS = 4
+# Watches that are at most this many versions behind get differences.
+KEPT_VERSIONS = 8
 _V = events.Event
 
 
+@attrs.frozen
+class Version:
+    """A version of the document.
+
+    :ivar change_id: the change that made it, empty for version 0.
+    """
+
+    number: int
+    change_id: str
+
+
+@attrs.frozen
+class Kept:
+    """A recent version with its document."""
+
+    version: Version
+    document: document.Document
+
+
+NO_VERSION = Version(0, '')
+
+
 class Installed:
     """Document in force on this daemon; implements ``_config.Config``.
 
@@ -28,14 +52,14 @@
 
     def __init__(self, log, now):
         self.current = document.EMPTY_DOCUMENT
-        self.version = 0
+        self.version = NO_VERSION
         self.confirmed_at = None
         self._log = log
         self._now = now
         self._started_at = now()
-        self._texts = collections.OrderedDict({0: ''})
+        self._kept = collections.OrderedDict()
         self._was_fresh = False
-        self._invalid_version = 0
+        self._refused_version = NO_VERSION
 
     def is_fresh(self):
         """Tell whether keyed routes may be served."""
@@ -45,7 +69,7 @@
             event = _V.CONFIRMATION_STALE
             if is_fresh:
                 event = _V.CONFIRMATION_RENEWED
-            self._log.record(event, version=self.version)
+            self._log.record(event, version=self.version.number)
         return is_fresh
 
     @property
@@ -55,51 +79,50 @@
             return float('inf')
         return self._now() - self.confirmed_at
 
-    def find_text(self, version):
-        """Return the text of a recent version, or None."""
-        return self._texts.get(version)
-
-    def needs_text(self, version, confirmed_at):
-        """Tell whether the text of ``version`` is to be installed."""
-        return version > self.version and self._counts(confirmed_at)
+    def find_document(self, version):
+        """Return the document of a recent version, or None.
 
-    def _counts(self, confirmed_at):
-        return confirmed_at is not None and confirmed_at > self._started_at
+        :param version: :class:`Version`.
+        """
+        kept = self._kept.get(version.number)
+        if kept is None or kept.version != version:
+            return None
+        return kept.document
 
-    def take(self, version, text, confirmed_at):
-        """Install and confirm what a control host reported.
+    def take(self, version, confirmed_at, make_document):
+        """Install and confirm what a control host or replica reported.
 
-        :param version: version in force at the control host.
-        :param text: its text, or None when it was not sent.
+        :param version: :class:`Version` in force there.
         :param confirmed_at: monotonic seconds of the confirmation, or None.
+        :param make_document: function called when the version is to be
+            installed; returns ``Success(Document)`` or ``Failure(faults)``.
         :returns: whether a new version was installed.
         """
-        if not self._counts(confirmed_at):
+        if confirmed_at is None or confirmed_at <= self._started_at:
             return False
-        is_new = version > self.version and text is not None
-        if is_new and not self._install(version, text):
+        is_new = version.number > self.version.number
+        if is_new and not self._install(version, make_document()):
+            # The confirmation counts only with the change that it covers.
             return False
-        # A confirmation counts only with all changes that it covers.
-        if self.version >= version:
-            previous = self.confirmed_at or confirmed_at
-            self.confirmed_at = max(previous, confirmed_at)
-            self.is_fresh()
+        previous = self.confirmed_at or confirmed_at
+        self.confirmed_at = max(previous, confirmed_at)
+        self.is_fresh()
         return is_new
 
-    def _install(self, version, text):
-        parsed = document.parse_document(text)
-        if not pipeline.is_successful(parsed):
-            if version != self._invalid_version:
-                self._invalid_version = version
-                fault = str(parsed.failure()[0])
+    def _install(self, version, made):
+        if not pipeline.is_successful(made):
+            if version != self._refused_version:
+                self._refused_version = version
                 self._log.record(
-                    _V.DOCUMENT_REFUSED, version=version, fault=fault
+                    _V.DOCUMENT_REFUSED,
+                    version=version.number,
+                    fault=str(next(iter(made.failure()), '')),
                 )
             return False
-        self.current = parsed.unwrap()
+        self.current = made.unwrap()
         self.version = version
-        self._texts[version] = text
-        if len(self._texts) > KEPT_TEXTS:
-            self._texts.popitem(last=False)
-        self._log.record(_V.DOCUMENT_INSTALLED, version=version)
+        self._kept[version.number] = Kept(version, self.current)
+        if len(self._kept) > KEPT_VERSIONS:
+            self._kept.popitem(last=False)
+        self._log.record(_V.DOCUMENT_INSTALLED, version=version.number)
         return True
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -6,9 +6,11 @@
 import attrs
 
 import cactusloft_link as link
+from cactusloft_membership import registry
 from cactusloft_model import calls
+from cactusloft_model import document
 from cactusloft_model import errors
-from cactusloftd import _deltas
+from cactusloft_retry import marks as retry_marks
 
 
 @attrs.frozen
@@ -34,6 +36,7 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body_bytes: int
+    route: str
 
 
 @attrs.frozen
@@ -52,48 +55,100 @@
 
     :ivar length: bytes of the body, or None when not known beforehand.
     :ivar is_complete: whether the payload is the whole body.
+    :ivar pressure: level of the pressure on this call's route, 0 for none.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     length: int | None
     is_complete: bool
+    pressure: float
 
 
 @attrs.frozen
 class Refusal:
-    """The owner's reason for giving no answer."""
+    """The owner's reason for giving no answer.
+
+    :ivar pressure: level of the pressure on this call's route, 0 for none.
+    """
 
     kind: errors.ErrorKind
     detail: str
     not_run: errors.NotRun | None
+    pressure: float
+
+
+@attrs.frozen
+class RetryCreditRequest:
+    """Ask the entry of a root call for one retry credit."""
+
+    root_call_id: str
+
+
+@attrs.frozen
+class RetryCredit:
+    """Reply to :class:`RetryCreditRequest`."""
+
+    is_given: bool
+
+
+@attrs.frozen
+class MarkNews:
+    """Crash marks that another daemon made or cleared.
+
+    :ivar is_for_all: whether the receiver, a control host, passes them on.
+    """
+
+    marks: tuple[retry_marks.Mark, ...]
+    is_for_all: bool
+
+
+@attrs.frozen
+class MarkReceipt:
+    """Acknowledgement of :class:`MarkNews`."""
+
+
+@attrs.frozen
+class PermitRequest:
+    """Ask the origin of a mark for the run alone, or give it back."""
+
+    fingerprint: str
+    is_return: bool
+
+
+@attrs.frozen
+class Permit:
+    """Reply to :class:`PermitRequest`."""
+
+    is_given: bool
 
 
 @attrs.frozen
 class Register:
     """A daemon's registration with a control host.
 
-    :ivar service: service of the backend server beside it, or empty.
-    :ivar is_serving: whether it takes new work.
+    :ivar services: services whose members the daemon asks for.
     """
 
-    name: str
-    incarnation: str
-    host: str
-    data_centre: str
-    peers: str
-    admin: str
-    public_key: str
-    service: str
-    slots: int
-    is_serving: bool
+    registration: registry.Registration
+    services: tuple[str, ...]
 
 
 @attrs.frozen
 class Registrations:
-    """All registrations that a control host knows."""
+    """Members of the services that were asked for."""
 
-    members: tuple[Register, ...]
+    members: tuple[registry.Registration, ...]
+
+
+@attrs.frozen
+class Lookup:
+    """Ask a control host for the registration of one daemon.
+
+    :ivar name: name of the daemon; an empty one asks for all.
+    """
+
+    name: str
 
 
 @attrs.frozen
@@ -140,11 +195,14 @@
     """A long poll of a daemon at a control host.
 
     :ivar version: installed version of the document.
+    :ivar change_id: the change that made it; tells versions of a former
+        group of replicas from those of its successor.
     :ivar hold_ms: longest wait for a change.
     """
 
     daemon: str
     version: int
+    change_id: str
     hold_ms: int
     tables: tuple[TableRequest, ...]
 
@@ -156,15 +214,17 @@
     :ivar version: version of the document in force there.
     :ivar age_s: seconds since its confirmation, or None without one.
     :ivar relays: control hosts between this state and a control replica.
-    :ivar text: whole document, when it was asked for and no delta fits.
-    :ivar delta: difference from the asker's version.
+    :ivar base_version: version that ``changes`` apply to, 0 for none.
+    :ivar changes: difference to ``version``, or None when it is not higher
+        than the asker's.
     """
 
     version: int
+    change_id: str
     age_s: float | None
     relays: int
-    text: str | None
-    delta: _deltas.Delta | None
+    base_version: int
+    changes: document.Changes | None
     tables: tuple[Table, ...]
 
 
@@ -181,6 +241,13 @@
     is_forwarded: bool
 
 
+@attrs.frozen
+class ShowRequest:
+    """Ask for the document with its comments, as the operator gave it."""
+
+    is_forwarded: bool
+
+
 @attrs.frozen
 class HistoryRequest:
     """Ask for the history of the document."""
@@ -228,5 +295,13 @@
         25: HistoryRequest,
         26: ReplicaChange,
         27: ControlAnswer,
+        28: ShowRequest,
+        12: Lookup,
+        30: RetryCreditRequest,
+        31: RetryCredit,
+        32: MarkNews,
+        33: MarkReceipt,
+        34: PermitRequest,
+        35: Permit,
     }
 )
--- a/daemon/src/cactusloftd/_operators.py
+++ b/daemon/src/cactusloftd/_operators.py
@@ -42,6 +42,7 @@
         for message_class in (
             _messages.ApplyRequest,
             _messages.HistoryRequest,
+            _messages.ShowRequest,
             _messages.ReplicaChange,
         ):
             self._node.handle_requests(message_class, self._serve)
@@ -49,7 +50,7 @@
     async def decide(self, request):
         """Return the :class:`ControlAnswer` to a request.
 
-        All three requests may be repeated: a change has its change id, and a
+        All requests may be repeated: a change has its change id, and a
         replica that is already added or removed stays so.
         """
         limit = self._now() + _control.LEADER_WAIT_S
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from returns import pipeline
+from returns import result
 
+from cactusloft_model import document
 from cactusloft_model import events
-from cactusloftd import _deltas
+from cactusloftd import _installed
 from cactusloftd import _messages
 
 HOLD_S = 1.0
@@ -32,8 +34,7 @@
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
     :param random_source: source of randomness for the choice.
-    :param find_local: function that returns the :class:`Source` of the local
-        control replica, or None.
+    :param replica: the local control replica, or None.
     :param on_change: function called after a change was installed.
     """
 
@@ -45,7 +46,7 @@
         log,
         now,
         random_source,
-        find_local,
+        replica,
         on_change,
     ):
         self._name = settings.name
@@ -53,11 +54,10 @@
         self._installed = installed
         self._log = log
         self._now = now
-        self._find_local = find_local
+        self._replica = replica
         self._on_change = on_change
         self._tables = {}
         self._known = {}
-        self._wants_whole = False
         self._hosts = _order_hosts(settings, random_source)
         self._is_relay = any(
             host.name == settings.name for host in settings.control_hosts
@@ -84,15 +84,18 @@
 
     def take_local(self):
         """Install from the local replica; tell whether it is confirmed."""
-        source = self._find_local()
-        if source is None or source.confirmed_at is None:
+        replica = self._replica
+        if replica is None or replica.confirmed_at is None:
             return False
-        text = None
-        if self._installed.needs_text(source.version, source.confirmed_at):
-            text = source.find_text(source.version)
-        self._take(source.version, text, source.confirmed_at)
-        self.relays = 0
-        return self._now() - source.confirmed_at < LOCAL_AGE_S
+        store, confirmed_at = replica.store, replica.confirmed_at
+        version = _installed.Version(store.version, store.change_id)
+        known_at = self._installed.confirmed_at
+        if known_at is None or confirmed_at >= known_at:
+            self.relays = 0
+        self._take(
+            version, confirmed_at, lambda: document.parse_document(store.text)
+        )
+        return self._now() - confirmed_at < LOCAL_AGE_S
 
     def _move(self):
         """Try the next control host, which knows none of our versions."""
@@ -107,18 +110,21 @@
         hold_s = RELAY_HOLD_S if self._is_relay else HOLD_S
         watch = _messages.Watch(
             daemon=self._name,
-            version=0 if self._wants_whole else self._installed.version,
+            version=self._installed.version.number,
+            change_id=self._installed.version.change_id,
             hold_ms=int(hold_s * 1000),
             tables=tuple(self._list_reports()),
         )
+        base = self._installed.current
         # Taken before sending: the true confirmation is not earlier.
         sent_at = self._now()
         reply = await peer.request(watch, hold_s + ANSWER_MARGIN_S)
         if not pipeline.is_successful(reply):
             self._log.record(_V.CONTROL_HOST_SILENT, control_host=host.name)
             return False
-        is_useful = self._take_answer(reply.unwrap(), sent_at)
-        if is_useful and reply.unwrap().version > self._installed.version:
+        is_useful = self._take_answer(reply.unwrap(), sent_at, base)
+        version = reply.unwrap().version
+        if is_useful and version > self._installed.version.number:
             # The answer was not confirmed late enough, or is invalid here.
             await asyncio.sleep(RETRY_PAUSE_S)
         return is_useful
@@ -128,7 +134,7 @@
             known = self._known.get(name, 0)
             yield _messages.TableRequest(name, known, make_report())
 
-    def _take_answer(self, answer, sent_at):
+    def _take_answer(self, answer, sent_at, base):
         for table in answer.tables:
             self._known[table.name] = table.version
             self._tables[table.name][1](table.content)
@@ -137,19 +143,16 @@
         # Relays of relays could pass on their own confirmations in a circle.
         if self._is_relay and answer.relays > 0:
             return False
-        text = answer.text
-        if answer.delta is not None:
-            base = self._installed.find_text(answer.delta.base_version)
-            text = _deltas.apply_delta(answer.delta, base or '')
-            self._wants_whole = text is None
-        else:
-            self._wants_whole = False
-        self.relays = answer.relays + 1
-        self._take(answer.version, text, sent_at - answer.age_s)
+        confirmed_at = sent_at - answer.age_s
+        known_at = self._installed.confirmed_at
+        if known_at is None or confirmed_at >= known_at:
+            self.relays = answer.relays + 1
+        version = _installed.Version(answer.version, answer.change_id)
+        self._take(version, confirmed_at, lambda: _patch(base, answer))
         return answer.age_s < MOVE_AGE_S
 
-    def _take(self, version, text, confirmed_at):
-        if self._installed.take(version, text, confirmed_at):
+    def _take(self, version, confirmed_at, make_document):
+        if self._installed.take(version, confirmed_at, make_document):
             self._on_change()
 
 
@@ -159,3 +162,15 @@
     random_source.shuffle(hosts)
     hosts.sort(key=lambda host: host.data_centre != settings.data_centre)
     return hosts
+
+
+def _patch(base, answer):
+    """Return the document that an answer describes, as a Result.
+
+    :param base: document installed when the watch was sent.
+    """
+    if answer.changes is None:
+        return result.Failure(('the answer holds no changes',))
+    if not answer.base_version:
+        base = document.EMPTY_DOCUMENT
+    return document.patch_document(base, answer.changes)
--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -1,15 +1,14 @@
 """Answers to watches, on control hosts.
 
-A control host answers from its control replica while that is confirmed, and
-otherwise from what it has installed itself by watching another control host.
+A control host answers from what it has installed: from its control replica
+while that is confirmed, otherwise from another control host that it watches.
 """
 
 import asyncio
 import typing
 
-import attrs
-
-from cactusloftd import _deltas
+from cactusloft_model import document
+from cactusloftd import _installed
 from cactusloftd import _messages
 
 MAX_HOLD_S = 2.0
@@ -22,29 +21,17 @@
         """Take a daemon's report; return a newer ``Table``, or None."""
 
 
-@attrs.frozen
-class Source:
-    """Document state that watches are answered from.
-
-    :ivar relays: control hosts between this state and a control replica.
-    :ivar find_text: function that returns the text of a recent version.
-    """
-
-    version: int
-    confirmed_at: float | None
-    relays: int
-    find_text: typing.Callable[[int], str | None]
-
-
 class WatchServer:
     """Serve ``Watch`` requests.
 
-    :param find_source: function that returns the best :class:`Source`.
+    :param installed: :class:`_installed.Installed`.
+    :param watcher: :class:`_watch.Watcher` that keeps it current.
     :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, find_source, now):
-        self._find_source = find_source
+    def __init__(self, installed, watcher, now):
+        self._installed = installed
+        self._watcher = watcher
         self._now = now
         self._owners = {}
         self._changed = None
@@ -64,7 +51,7 @@
         limit = self._now() + min(watch.hold_ms / 1000, MAX_HOLD_S)
         while True:
             tables = self._exchange(watch)
-            has_changed = self._find_source().version > watch.version
+            has_changed = self._installed.version.number > watch.version
             remaining = limit - self._now()
             if tables or has_changed or remaining <= 0:
                 return self._make_answer(watch, tables)
@@ -88,22 +75,32 @@
         return tuple(table for table in answers if table is not None)
 
     def _make_answer(self, watch, tables):
-        source = self._find_source()
-        text, delta = None, None
-        if source.version > watch.version:
-            text = source.find_text(source.version)
-            base = source.find_text(watch.version)
-            if base and text is not None:
-                delta = _deltas.make_delta(watch.version, base, text)
-                text = None
+        self._watcher.take_local()
+        installed = self._installed
+        base_version, changes = 0, None
+        if installed.version.number > watch.version:
+            base_version, changes = self._list_changes(watch)
         age_s = None
-        if source.confirmed_at is not None:
-            age_s = self._now() - source.confirmed_at
+        if installed.confirmed_at is not None:
+            age_s = installed.age_s
         return _messages.WatchAnswer(
-            version=source.version,
+            version=installed.version.number,
+            change_id=installed.version.change_id,
             age_s=age_s,
-            relays=source.relays,
-            text=text,
-            delta=delta,
+            relays=self._watcher.relays,
+            base_version=base_version,
+            changes=changes,
             tables=tables,
         )
+
+    def _list_changes(self, watch):
+        """Return the base version and the changes from there."""
+        known = _installed.Version(watch.version, watch.change_id)
+        base = self._installed.find_document(known)
+        base_version = watch.version
+        if base is None:
+            base, base_version = document.EMPTY_DOCUMENT, 0
+        changes = document.list_changes(
+            base.sections, self._installed.current.sections
+        )
+        return base_version, changes
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -1,15 +1,17 @@
 """A whole daemon: its parts, their start and their shutdown."""
 
 import asyncio
+import itertools
 import pathlib
 import random
-import secrets
 import time
 
 from aiohttp import web
 import structlog
 
 import cactusloft_link as link
+from cactusloft_membership import choice
+from cactusloft_membership import registry
 from cactusloft_model import clock
 from cactusloft_model import events
 from cactusloftd import _backend
@@ -17,12 +19,16 @@
 from cactusloftd import _config
 from cactusloftd import _control_plane
 from cactusloftd import _entry
+from cactusloftd import _flow
+from cactusloftd import _guards
 from cactusloftd import _http
 from cactusloftd import _http_server
+from cactusloftd import _marks
 from cactusloftd import _members
 from cactusloftd import _messages
 from cactusloftd import _owner
 from cactusloftd import _peers
+from cactusloftd import _retries
 
 SHUTDOWN_POLL_S = 0.02
 _V = events.Event
@@ -42,7 +48,8 @@
 
     def __init__(self, settings):
         self._settings = settings
-        self._incarnation = secrets.token_hex(8)
+        self._incarnation = time.time_ns() // 10**6
+        self._sequence = itertools.count(1)
         now = time.monotonic
         hybrid_clock = clock.HybridClock(lambda: time.time_ns() // 10**6)
         self._log = events.EventLog(
@@ -56,24 +63,31 @@
             hybrid_clock,
         )
         self._node.on_event = self._record_link_event
-        self._owner = _owner.Owner(self._log, now)
         self._members = _members.Members(
-            self._node, settings.control_hosts, self._describe, random.Random()
-        )
-        self._registry = _members.Registry(now)
-        self._plane = _control_plane.ControlPlane(
-            settings,
             self._node,
-            self._log,
+            settings.control_hosts,
+            self._describe,
+            choice.View(settings.name, settings.data_centre, random.Random()),
             now,
-            self._members.list_members,
-            self._owner,
         )
+        self._registrations = _members.RegistrationServer(
+            registry.Registry(), now
+        )
+        self._plane = _control_plane.ControlPlane(
+            settings, self._node, self._log, now, self._members
+        )
+        config = _choose_config(settings, self._plane)
+        self._guards = self._make_guards(config, now)
+        self._owner = _owner.Owner(config, self._guards, self._log, now)
+        self._admin = self._plane.make_admin(self._owner)
+        self._is_changed = asyncio.Event()
+        self._owner.on_change = self._is_changed.set
         self._entry = _entry.Entry(
             settings.name,
-            _choose_config(settings, self._plane),
+            config,
             self._owner,
             self._members,
+            self._guards,
             self._log,
             now,
         )
@@ -81,29 +95,47 @@
         self._runners = []
         self._call_server = _peers.CallServer(self._owner, now)
 
+    def _make_guards(self, config, now):
+        name, members, log = self._settings.name, self._members, self._log
+        return _guards.Guards(
+            _flow.Flow(config, random.Random(), now),
+            _marks.Marks(name, members, self._registrations, log, now),
+            _retries.Retries(name, config, members, log, now),
+        )
+
     async def run(self, stop):
         """Serve until the event ``stop`` is set, then shut down."""
         await self._start()
         self._log.record(_V.DAEMON_STARTED, incarnation=self._incarnation)
-        register = asyncio.create_task(self._members.run())
+        tasks = [
+            asyncio.create_task(self._keep_registered()),
+            asyncio.create_task(self._guards.marks.run()),
+        ]
         await stop.wait()
         self._log.record(_V.DAEMON_STOPPING)
         await self._shut_down()
-        register.cancel()
+        for task in tasks:
+            task.cancel()
         await self._close()
         self._log.record(_V.DAEMON_STOPPED)
 
     async def _start(self):
         listeners = self._settings.listeners
         self._node.handle_streams(_messages.CallStart, self._call_server.serve)
-        self._node.handle_requests(_messages.Register, self._registry.register)
+        self._node.handle_requests(
+            _messages.Register, self._registrations.register
+        )
+        self._node.handle_requests(
+            _messages.Lookup, self._registrations.look_up
+        )
+        self._guards.handle_messages(self._node)
         self._plane.start()
         self._node.listen(listeners.peers)
         callers = _callers.Callers(self._entry, self._exchanges, self._log)
         backend = _backend.Backend(self._entry, self._owner, self._exchanges)
         await self._listen(listeners.callers, callers.handle)
         await self._listen(listeners.backend, backend.handle)
-        await self._listen(listeners.admin, self._plane.admin.handle)
+        await self._listen(listeners.admin, self._admin.handle)
 
     async def _listen(self, endpoint, handler):
         runner = web.ServerRunner(_http_server.HttpServer(handler, self._log))
@@ -122,6 +154,17 @@
         while time.monotonic() < limit and self._is_busy():
             await asyncio.sleep(SHUTDOWN_POLL_S)
 
+    async def _keep_registered(self):
+        while True:
+            self._owner.expire()
+            self._is_changed.clear()
+            await self._members.register_once()
+            try:
+                async with asyncio.timeout(_members.REGISTER_INTERVAL_S):
+                    await self._is_changed.wait()
+            except TimeoutError:
+                continue
+
     def _is_busy(self):
         return self._exchanges.count > 0 or self._owner.in_flight > 0
 
@@ -135,15 +178,17 @@
     def _describe(self):
         settings = self._settings
         announcement = self._owner.announcement
-        return _messages.Register(
+        return registry.Registration(
             name=settings.name,
             incarnation=self._incarnation,
+            sequence=next(self._sequence),
             host=settings.host,
             data_centre=settings.data_centre,
             peers=settings.listeners.peers,
             admin=settings.listeners.admin,
             public_key=settings.security.key_pair.public.decode(),
             service=announcement.service if announcement else '',
+            instance=announcement.instance if announcement else '',
             slots=announcement.slots if announcement else 0,
             is_serving=self._owner.is_serving,
         )
