--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -37,8 +37,9 @@
         return _messages.Registrations(tuple(members))
 
     async def look_up(self, message, _age_s):
-        """Return the registration of one daemon."""
-        found = (m for m in self.list_all() if m.name == message.name)
+        """Return the registration of one daemon, or all without a name."""
+        name = message.name
+        found = (m for m in self.list_all() if name in ('', m.name))
         return _messages.Registrations(tuple(found))
 
     def list_all(self):
@@ -103,6 +104,16 @@
                 return answer.members[0]
         return None
 
+    async def list_fleet(self):
+        """Return the registrations of all daemons."""
+        found = {}
+        message = _messages.Lookup('')
+        for peer in self.list_control_links():
+            reply = await peer.request(message, REGISTER_TIMEOUT_S)
+            answer = reply.value_or(_messages.Registrations(()))
+            found.update((m.name, m) for m in answer.members)
+        return list(found.values())
+
     def list_control_links(self):
         """Return the links to the control hosts."""
         return [self._node.connect(h.address) for h in self._control_hosts]
--- /dev/null
+++ b/daemon/src/cactusloftd/_watch.py
@@ -0,0 +1,176 @@
+"""Long poll of a control host, and the choice of the control host."""
+
+import asyncio
+
+from returns import pipeline
+from returns import result
+
+from cactusloft_model import document
+from cactusloft_model import events
+from cactusloftd import _installed
+from cactusloftd import _messages
+
+HOLD_S = 1.0
+# Relays poll faster, so that a daemon behind one stays within the freshness
+# bound during a change of the control leader (2.4 s without confirmation).
+RELAY_HOLD_S = 0.25
+ANSWER_MARGIN_S = 1.0
+CONNECT_WAIT_S = 0.5
+RETRY_PAUSE_S = 0.1
+# A control host whose confirmation is older than this may be isolated.
+MOVE_AGE_S = 2.5
+# A local replica that was confirmed within this time makes polls needless.
+LOCAL_AGE_S = 1.5
+LOCAL_POLL_S = 0.1
+_V = events.Event
+
+
+class Watcher:
+    """Keep the installed document current.
+
+    :param settings: :class:`_settings.Settings`.
+    :param node: :class:`link.Node`.
+    :param installed: :class:`_installed.Installed`.
+    :param log: :class:`events.EventLog`.
+    :param now: function that returns monotonic seconds.
+    :param random_source: source of randomness for the choice.
+    :param replica: the local control replica, or None.
+    :param on_change: function called after a change was installed.
+    """
+
+    def __init__(
+        self,
+        settings,
+        node,
+        installed,
+        log,
+        now,
+        random_source,
+        replica,
+        on_change,
+    ):
+        self._name = settings.name
+        self._node = node
+        self._installed = installed
+        self._log = log
+        self._now = now
+        self._replica = replica
+        self._on_change = on_change
+        self._tables = {}
+        self._known = {}
+        self._hosts = _order_hosts(settings, random_source)
+        self._is_relay = any(
+            host.name == settings.name for host in settings.control_hosts
+        )
+        self.relays = 0
+
+    def attach(self, name, make_report, take):
+        """Exchange the table ``name`` with the control host.
+
+        :param make_report: function that returns the bytes to report.
+        :param take: function that takes the content of a new version.
+        """
+        self._tables[name] = (make_report, take)
+
+    async def run(self):
+        """Watch until cancelled."""
+        while True:
+            if self.take_local():
+                await asyncio.sleep(LOCAL_POLL_S)
+                continue
+            if not self._hosts or not await self._watch(self._hosts[0]):
+                self._move()
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    def take_local(self):
+        """Install from the local replica; tell whether it is confirmed."""
+        replica = self._replica
+        if replica is None or replica.confirmed_at is None:
+            return False
+        store, confirmed_at = replica.store, replica.confirmed_at
+        version = _installed.Version(store.version, store.change_id)
+        known_at = self._installed.confirmed_at
+        if known_at is None or confirmed_at >= known_at:
+            self.relays = 0
+        self._take(
+            version, confirmed_at, lambda: document.parse_document(store.text)
+        )
+        return self._now() - confirmed_at < LOCAL_AGE_S
+
+    def _move(self):
+        """Try the next control host, which knows none of our versions."""
+        self._known.clear()
+        self._hosts = self._hosts[1:] + self._hosts[:1]
+
+    async def _watch(self, host):
+        """Poll once; tell whether ``host`` is worth another poll."""
+        peer = self._node.connect(host.address)
+        if not await peer.wait_until_up(CONNECT_WAIT_S):
+            return False
+        hold_s = RELAY_HOLD_S if self._is_relay else HOLD_S
+        watch = _messages.Watch(
+            daemon=self._name,
+            version=self._installed.version.number,
+            change_id=self._installed.version.change_id,
+            hold_ms=int(hold_s * 1000),
+            tables=tuple(self._list_reports()),
+        )
+        base = self._installed.current
+        # Taken before sending: the true confirmation is not earlier.
+        sent_at = self._now()
+        reply = await peer.request(watch, hold_s + ANSWER_MARGIN_S)
+        if not pipeline.is_successful(reply):
+            self._log.record(_V.CONTROL_HOST_SILENT, control_host=host.name)
+            return False
+        is_useful = self._take_answer(reply.unwrap(), sent_at, base)
+        version = reply.unwrap().version
+        if is_useful and version > self._installed.version.number:
+            # The answer was not confirmed late enough, or is invalid here.
+            await asyncio.sleep(RETRY_PAUSE_S)
+        return is_useful
+
+    def _list_reports(self):
+        for name, (make_report, _) in self._tables.items():
+            known = self._known.get(name, 0)
+            yield _messages.TableRequest(name, known, make_report())
+
+    def _take_answer(self, answer, sent_at, base):
+        for table in answer.tables:
+            self._known[table.name] = table.version
+            self._tables[table.name][1](table.content)
+        if answer.age_s is None:
+            return False
+        # Relays of relays could pass on their own confirmations in a circle.
+        if self._is_relay and answer.relays > 0:
+            return False
+        confirmed_at = sent_at - answer.age_s
+        known_at = self._installed.confirmed_at
+        if known_at is None or confirmed_at >= known_at:
+            self.relays = answer.relays + 1
+        version = _installed.Version(answer.version, answer.change_id)
+        self._take(version, confirmed_at, lambda: _patch(base, answer))
+        return answer.age_s < MOVE_AGE_S
+
+    def _take(self, version, confirmed_at, make_document):
+        if self._installed.take(version, confirmed_at, make_document):
+            self._on_change()
+
+
+def _order_hosts(settings, random_source):
+    """Return the other control hosts, own data centre first."""
+    hosts = [h for h in settings.control_hosts if h.name != settings.name]
+    random_source.shuffle(hosts)
+    hosts.sort(key=lambda host: host.data_centre != settings.data_centre)
+    return hosts
+
+
+def _patch(base, answer):
+    """Return the document that an answer describes, as a Result.
+
+    :param base: document installed when the watch was sent.
+    """
+    if answer.changes is None:
+        return result.Failure(('the answer holds no changes',))
+    if not answer.base_version:
+        base = document.EMPTY_DOCUMENT
+    return document.patch_document(base, answer.changes)
