Tell every daemon the control leader and the voters

Cause: the rate allocator is the control leader and the ledger group is the control voters, but only replicas knew them. Watches now carry the control group with its epoch, the log index of the last committed membership entry.

--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -190,6 +190,36 @@
     content: bytes
 
 
+@attrs.frozen
+class ControlMember:
+    """A control replica and where its daemon is reached.
+
+    :ivar peers: endpoint of the peer listener, ``IP:port``.
+    """
+
+    replica_id: str
+    daemon: str
+    peers: str
+    public_key: str
+    is_voter: bool
+
+
+@attrs.frozen
+class ControlGroup:
+    """The control replicas.
+
+    :ivar epoch: grows with every change of the members.
+    :ivar leader: replica id of the leader, empty while none is known.
+    """
+
+    epoch: int
+    leader: str
+    members: tuple[ControlMember, ...]
+
+
+NO_GROUP = ControlGroup(0, '', ())
+
+
 @attrs.frozen
 class Watch:
     """A long poll of a daemon at a control host.
@@ -197,12 +227,16 @@
     :ivar version: installed version of the document.
     :ivar change_id: the change that made it; tells versions of a former
         group of replicas from those of its successor.
+    :ivar epoch: epoch of the control group that the asker knows.
+    :ivar leader: leader of the control group that the asker knows.
     :ivar hold_ms: longest wait for a change.
     """
 
     daemon: str
     version: int
     change_id: str
+    epoch: int
+    leader: str
     hold_ms: int
     tables: tuple[TableRequest, ...]
 
@@ -214,6 +248,7 @@
     :ivar version: version of the document in force there.
     :ivar age_s: seconds since its confirmation, or None without one.
     :ivar relays: control hosts between this state and a control replica.
+    :ivar group: the control group, or None if the asker knows it.
     :ivar base_version: version that ``changes`` apply to, 0 for none.
     :ivar changes: difference to ``version``, or None when it is not higher
         than the asker's.
@@ -223,6 +258,7 @@
     change_id: str
     age_s: float | None
     relays: int
+    group: ControlGroup | None
     base_version: int
     changes: document.Changes | None
     tables: tuple[Table, ...]
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -1,6 +1,7 @@
 """A whole daemon: its parts, their start and their shutdown."""
 
 import asyncio
+import collections
 import itertools
 import pathlib
 import random
@@ -26,6 +27,7 @@
 from cactusloftd import _marks
 from cactusloftd import _members
 from cactusloftd import _messages
+from cactusloftd import _metrics
 from cactusloftd import _owner
 from cactusloftd import _peers
 from cactusloftd import _retries
@@ -55,6 +57,8 @@
         self._log = events.EventLog(
             settings.name, hybrid_clock, structlog.get_logger()
         )
+        self._metrics = _metrics.Metrics()
+        self._log.on_record = self._metrics.count_event
         security = settings.security
         self._node = link.Node(
             _messages.CODEC,
@@ -78,7 +82,9 @@
         )
         config = _choose_config(settings, self._plane)
         self._guards = self._make_guards(config, now)
-        self._owner = _owner.Owner(config, self._guards, self._log, now)
+        self._owner = _owner.Owner(
+            config, self._guards, self._log, self._metrics, now
+        )
         self._admin = self._plane.make_admin(self._owner)
         self._is_changed = asyncio.Event()
         self._owner.on_change = self._is_changed.set
@@ -94,6 +100,7 @@
         self._exchanges = _http.Exchanges()
         self._runners = []
         self._call_server = _peers.CallServer(self._owner, now)
+        self._observe()
 
     def _make_guards(self, config, now):
         name, members, log = self._settings.name, self._members, self._log
@@ -131,12 +138,43 @@
         self._guards.handle_messages(self._node)
         self._plane.start()
         self._node.listen(listeners.peers)
-        callers = _callers.Callers(self._entry, self._exchanges, self._log)
-        backend = _backend.Backend(self._entry, self._owner, self._exchanges)
+        callers = _callers.Callers(
+            self._entry, self._exchanges, self._log, self._metrics
+        )
+        backend = _backend.Backend(
+            self._entry, self._owner, self._exchanges, self._metrics
+        )
         await self._listen(listeners.callers, callers.handle)
         await self._listen(listeners.backend, backend.handle)
         await self._listen(listeners.admin, self._admin.handle)
 
+    def _observe(self):
+        """Name the sources of the gauges."""
+        observe = self._metrics.observe_number
+        owner, exchanges = self._owner, self._exchanges
+        observe('cactusloft_in_flight_calls', lambda: owner.in_flight)
+        observe('cactusloft_queued_calls', self._read_queued)
+        observe('cactusloft_concurrency_limit_calls', self._read_limit)
+        observe('cactusloft_open_exchanges', lambda: exchanges.count)
+        observe(
+            'cactusloft_backend_server_lease',
+            lambda: int(owner.announcement is not None),
+        )
+        self._metrics.observe('cactusloft_members', self._count_members)
+
+    def _read_queued(self):
+        admission = self._owner.admission
+        return admission.queued if admission else None
+
+    def _read_limit(self):
+        admission = self._owner.admission
+        return admission.compute_limit() if admission else None
+
+    def _count_members(self):
+        services = (m.service for m in self._members.list_members())
+        counts = collections.Counter(services)
+        return {(service,): count for service, count in counts.items()}
+
     async def _listen(self, endpoint, handler):
         runner = web.ServerRunner(_http_server.HttpServer(handler, self._log))
         await runner.setup()
@@ -173,6 +211,7 @@
             await runner.cleanup()
         await self._owner.close()
         await self._plane.close()
+        self._metrics.close()
         self._node.close()
 
     def _describe(self):
--- a/daemon/tests/conftest.py
+++ b/daemon/tests/conftest.py
@@ -60,6 +60,14 @@
             self._process.wait()
             self._process = None
 
+    def wait(self):
+        code = self._process.wait(WAIT_S)
+        self._process = None
+        return code
+
+    def read_log(self):
+        return self._log.read_text()
+
     def lose_data(self):
         shutil.rmtree(self.settings.parent / f'{self.name}-data')
 
--- a/daemon/tests/test_control_failures.py
+++ b/daemon/tests/test_control_failures.py
@@ -172,3 +172,20 @@
     # A restarted replica may serve only once it holds the last version.
     assert set(seen) == {300}
     assert daemon.apply(300, 'after', _make_document())[1] == {'version': 301}
+
+
+def test_damaged_log_stops_the_daemon(make_fleet, tmp_path):
+    """A replica must not vote without entries that it acknowledged."""
+    fleet = make_fleet(REPLICAS[:1])
+    replica = fleet.replicas[0]
+    for number in range(3):
+        replica.apply(number, f'change-{number}', _make_document())
+    replica.kill()
+    log = tmp_path / 'c1-data' / 'log'
+    content = bytearray(log.read_bytes())
+    content[len(content) // 2] ^= 1
+    log.write_bytes(content)
+    replica.start()
+    assert replica.wait() == 1
+    errors = replica.read_log()
+    assert 'log damaged at byte' in errors and 'Traceback' not in errors
--- a/libs/consensus/src/cactusloft_consensus/_log.py
+++ b/libs/consensus/src/cactusloft_consensus/_log.py
@@ -1,5 +1,6 @@
 """In-memory log of one replica: a snapshot and the entries after it."""
 
+import attrs
 import msgspec
 
 from cactusloft_consensus import _messages
@@ -7,6 +8,17 @@
 MAX_APPEND_BYTES = 1024 * 1024
 
 
+@attrs.frozen
+class Membership:
+    """Members of the group from one index on.
+
+    :ivar index: index of the entry that set them; the same on all replicas.
+    """
+
+    index: int
+    members: tuple[_messages.Member, ...]
+
+
 class Log:
     """Entries after a snapshot, with the membership that they define.
 
@@ -93,17 +105,20 @@
         self._entries = list(rest)
         self._find_members()
 
-    def find_members_at(self, index):
-        """Return the membership in force at ``index``."""
-        members = self.snapshot.members
+    def find_membership(self, index):
+        """Return the :class:`Membership` in force at ``index``."""
+        if self.members_index <= index:
+            return Membership(self.members_index, self.members)
+        snapshot = self.snapshot
+        found = Membership(snapshot.members_index, snapshot.members)
         for entry in self.list_entries(self.snapshot.index + 1, index):
             if entry.kind == _messages.EntryKind.MEMBERS:
-                members = decode_members(entry.data)
-        return members
+                found = Membership(entry.index, decode_members(entry.data))
+        return found
 
     def _find_members(self):
         self.members = self.snapshot.members
-        self.members_index = self.snapshot.index
+        self.members_index = self.snapshot.members_index
         for entry in reversed(self._entries):
             if entry.kind == _messages.EntryKind.MEMBERS:
                 self.members = decode_members(entry.data)
--- a/libs/consensus/src/cactusloft_consensus/_messages.py
+++ b/libs/consensus/src/cactusloft_consensus/_messages.py
@@ -49,16 +49,18 @@
     """State that replaces all entries up to ``index``.
 
     :ivar members: membership in force at ``index``.
+    :ivar members_index: index of the entry that set this membership.
     :ivar data: state of the replicated state machine.
     """
 
     index: int
     term: int
     members: tuple[Member, ...]
+    members_index: int
     data: bytes
 
 
-EMPTY_SNAPSHOT = Snapshot(0, 0, (), b'')
+EMPTY_SNAPSHOT = Snapshot(0, 0, (), 0, b'')
 
 
 @attrs.frozen
--- a/libs/consensus/src/cactusloft_consensus/_node.py
+++ b/libs/consensus/src/cactusloft_consensus/_node.py
@@ -124,6 +124,11 @@
         leads = self._leadership
         return leads is not None and self.commit >= leads.first_index
 
+    @property
+    def membership(self):
+        """Return the committed :class:`Membership`."""
+        return self.log.find_membership(self.commit)
+
     def list_matches(self):
         """Return the synced index of each member, on the leader only."""
         if self._leadership is None:
@@ -140,7 +145,7 @@
         if self.log.last_index or self.log.members:
             return _refuse('this replica already belongs to a group')
         member = _messages.Member(self.replica_id, address, True)
-        snapshot = _messages.Snapshot(1, 1, (member,), b'')
+        snapshot = _messages.Snapshot(1, 1, (member,), 1, b'')
         self.log = _log.Log(snapshot)
         self.term = max(self.term, 1)
         self.commit = self._handed = snapshot.index
@@ -211,8 +216,11 @@
         :param data: state of the state machine after that entry.
         """
         term = self.log.find_term(index)
-        members = self.log.find_members_at(index)
-        self.log.replace(_messages.Snapshot(index, term, members, data))
+        membership = self.log.find_membership(index)
+        snapshot = _messages.Snapshot(
+            index, term, membership.members, membership.index, data
+        )
+        self.log.replace(snapshot)
         self._record_rewrite()
 
     def note_synced(self, sync_point, now):
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -76,6 +76,11 @@
         """Tell whether this replica leads and knows all committed entries."""
         return not self.failure and self._node.is_ready
 
+    @property
+    def leader_id(self):
+        """Return the replica id of the leader, or empty."""
+        return self._node.leader_id
+
     @property
     def leader(self):
         """Return the :class:`Member` that leads, or None."""
@@ -86,6 +91,11 @@
         """Return the members of the group, empty before it is known."""
         return self._node.log.members
 
+    @property
+    def membership(self):
+        """Return the committed membership with its index."""
+        return self._node.membership
+
     @property
     def role(self):
         """Return the name of the current role."""
--- a/libs/consensus/tests/test_node.py
+++ b/libs/consensus/tests/test_node.py
@@ -8,7 +8,7 @@
 from cactusloft_consensus import node
 
 MEMBERS = tuple(messages.Member(name, name, True) for name in 'abc')
-SNAPSHOT = messages.Snapshot(1, 1, MEMBERS, b'')
+SNAPSHOT = messages.Snapshot(1, 1, MEMBERS, 1, b'')
 LATER = 100.0
 
 
@@ -102,7 +102,7 @@
     """Entries behind a snapshot may already count as replicated."""
     entries = tuple(_entry(index, 3) for index in range(2, 6))
     replica = _make_node(entries=entries)
-    snapshot = messages.Snapshot(3, 3, MEMBERS, b'state')
+    snapshot = messages.Snapshot(3, 3, MEMBERS, 1, b'state')
     message = messages.InstallSnapshot(3, snapshot, 1)
     output = _receive(replica, 'b', message)
     assert output.snapshot == snapshot
