--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -69,6 +69,11 @@
             self._log,
         )
 
+    @property
+    def group(self):
+        """Return the known :class:`_messages.ControlGroup`."""
+        return self.watcher.group
+
     @property
     def leads(self):
         """Tell whether this daemon is the control leader."""
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -63,6 +63,7 @@
             host.name == settings.name for host in settings.control_hosts
         )
         self.relays = 0
+        self.group = _messages.NO_GROUP
 
     def attach(self, name, make_report, take):
         """Exchange the table ``name`` with the control host.
@@ -92,6 +93,7 @@
         known_at = self._installed.confirmed_at
         if known_at is None or confirmed_at >= known_at:
             self.relays = 0
+            self._take_group(_list_group(replica))
         self._take(
             version, confirmed_at, lambda: document.parse_document(store.text)
         )
@@ -112,6 +114,8 @@
             daemon=self._name,
             version=self._installed.version.number,
             change_id=self._installed.version.change_id,
+            epoch=self.group.epoch,
+            leader=self.group.leader,
             hold_ms=int(hold_s * 1000),
             tables=tuple(self._list_reports()),
         )
@@ -123,9 +127,11 @@
             self._log.record(_V.CONTROL_HOST_SILENT, control_host=host.name)
             return False
         is_useful = self._take_answer(reply.unwrap(), sent_at, base)
-        version = reply.unwrap().version
-        if is_useful and version > self._installed.version.number:
-            # The answer was not confirmed late enough, or is invalid here.
+        answer = reply.unwrap()
+        is_taken = answer.group in (None, self.group)
+        if answer.version > self._installed.version.number or not is_taken:
+            # The answer was not confirmed late enough, or is invalid here;
+            # another poll would be answered at once.
             await asyncio.sleep(RETRY_PAUSE_S)
         return is_useful
 
@@ -147,10 +153,16 @@
         known_at = self._installed.confirmed_at
         if known_at is None or confirmed_at >= known_at:
             self.relays = answer.relays + 1
+            self._take_group(answer.group)
         version = _installed.Version(answer.version, answer.change_id)
         self._take(version, confirmed_at, lambda: _patch(base, answer))
         return answer.age_s < MOVE_AGE_S
 
+    def _take_group(self, group):
+        if group is not None and group != self.group:
+            self.group = group
+            self._on_change()
+
     def _take(self, version, confirmed_at, make_document):
         if self._installed.take(version, confirmed_at, make_document):
             self._on_change()
@@ -164,6 +176,22 @@
     return hosts
 
 
+def _list_group(replica):
+    """Return the :class:`ControlGroup` as the local replica knows it."""
+    membership = replica.membership
+    members = []
+    for member in membership.members:
+        daemon, peers, public_key = member.address.split()
+        members.append(
+            _messages.ControlMember(
+                member.replica_id, daemon, peers, public_key, member.is_voter
+            )
+        )
+    return _messages.ControlGroup(
+        membership.index, replica.leader_id, tuple(members)
+    )
+
+
 def _patch(base, answer):
     """Return the document that an answer describes, as a Result.
 
--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -51,12 +51,21 @@
         limit = self._now() + min(watch.hold_ms / 1000, MAX_HOLD_S)
         while True:
             tables = self._exchange(watch)
-            has_changed = self._installed.version.number > watch.version
+            has_changed = self._has_changed(watch)
             remaining = limit - self._now()
             if tables or has_changed or remaining <= 0:
                 return self._make_answer(watch, tables)
             await self._wait(remaining)
 
+    def _has_changed(self, watch):
+        if self._installed.version.number > watch.version:
+            return True
+        group = self._watcher.group
+        # Without a confirmation, the asker would not take the group.
+        is_confirmed = self._installed.is_fresh()
+        known = watch.epoch, watch.leader
+        return is_confirmed and known != (group.epoch, group.leader)
+
     async def _wait(self, timeout_s):
         if self._changed is None:
             self._changed = asyncio.Event()
@@ -80,6 +89,9 @@
         base_version, changes = 0, None
         if installed.version.number > watch.version:
             base_version, changes = self._list_changes(watch)
+        group = self._watcher.group
+        if (group.epoch, group.leader) == (watch.epoch, watch.leader):
+            group = None
         age_s = None
         if installed.confirmed_at is not None:
             age_s = installed.age_s
@@ -88,6 +100,7 @@
             change_id=installed.version.change_id,
             age_s=age_s,
             relays=self._watcher.relays,
+            group=group,
             base_version=base_version,
             changes=changes,
             tables=tables,
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -210,8 +210,8 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._owner.close()
-        self._metrics.close()
         await self._plane.close()
+        self._metrics.close()
         self._node.close()
 
     def _describe(self):
--- a/daemon/tests/test_installed.py
+++ b/daemon/tests/test_installed.py
@@ -7,6 +7,8 @@
 import structlog
 
 from cactusloft_consensus import documents
+from cactusloft_consensus import messages
+from cactusloft_consensus import node
 from cactusloft_model import clock
 from cactusloft_model import document
 from cactusloft_model import events
@@ -111,6 +113,9 @@
     """What a watcher and a watch server need of a replica."""
 
     confirmed_at = None
+    leader_id = 'r1'
+    address = f'c1 127.0.0.1:4 {"p" * 40}'
+    membership = node.Membership(5, (messages.Member('r1', address, True),))
 
     def __init__(self):
         self.store = documents.DocumentStore()
@@ -157,7 +162,7 @@
 
 
 def _watch_once(server, version, change_id):
-    watch = _messages.Watch('d1', version, change_id, 0, ())
+    watch = _messages.Watch('d1', version, change_id, 5, 'r1', 0, ())
     return asyncio.run(server.answer(watch, 0.0))
 
 
@@ -177,10 +182,20 @@
     assert _watch_once(server, 2, 'second').changes is None
 
 
+def test_watch_gets_a_new_control_group(server, replica, time_source):
+    """Rate leases and the ledger must find the leader and the voters."""
+    replica.confirmed_at = time_source.now = 101.0
+    assert _watch_once(server, 0, '').group is None
+    replica.leader_id = 'r2'
+    group = _watch_once(server, 0, '').group
+    assert (group.epoch, group.leader) == (5, 'r2')
+    assert group.members[0].peers == '127.0.0.1:4'
+
+
 async def _await_table(server, owner):
     server.attach('marks', owner)
     request = _messages.TableRequest('marks', 0, b'report')
-    watch = _messages.Watch('d1', 0, '', 1000, (request,))
+    watch = _messages.Watch('d1', 0, '', 0, '', 1000, (request,))
     waiting = asyncio.create_task(server.answer(watch, 0.0))
     await asyncio.sleep(0)
     owner.version = 1
--- a/libs/consensus/tests/test_storage.py
+++ b/libs/consensus/tests/test_storage.py
@@ -8,7 +8,7 @@
 from cactusloft_consensus import storage
 
 MEMBERS = (messages.Member('one', 'host0', True),)
-SNAPSHOT = messages.Snapshot(3, 2, MEMBERS, b'state')
+SNAPSHOT = messages.Snapshot(3, 2, MEMBERS, 1, b'state')
 
 
 def _entry(index, term=2):
