--- /dev/null
+++ b/daemon/src/cactusloftd/_http.py
@@ -0,0 +1,140 @@
+"""Reading requests from HTTP listeners, and writing responses to them."""
+
+import asyncio
+
+from aiohttp import web
+import attrs
+from returns import result
+
+from cactusloft_model import errors
+from cactusloftd import _calls
+from cactusloftd import _entry
+from cactusloftd import _headers
+
+MAX_IDEMPOTENCY_KEY = 255
+# A client that sends its body slower than this holds a connection for no use.
+BODY_TIMEOUT_S = 20.0
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_E = errors.ErrorKind
+
+
+def read_head(request, target):
+    """Return the :class:`Inbound` of a request.
+
+    :param target: path with query as the service shall see it.
+    :returns: ``Success(Inbound)`` or ``Failure(CallError)``.
+    """
+    idempotency_key = request.headers.get(_headers.IDEMPOTENCY_KEY, '')
+    if len(idempotency_key) > MAX_IDEMPOTENCY_KEY:
+        return _calls.fail(_E.BAD_REQUEST, 'Idempotency-Key is too long')
+    deadline = request.headers.get(_headers.DEADLINE_MS)
+    if deadline is not None and not _is_positive(deadline):
+        return _calls.fail(
+            _E.BAD_REQUEST, f'{_headers.DEADLINE_MS} must be positive'
+        )
+    scheme, _, key = request.headers.get(_headers.KEY, '').partition(' ')
+    is_bearer = scheme.lower() == 'bearer'
+    return result.Success(
+        _entry.Inbound(
+            method=request.method,
+            target=target,
+            key=key.strip() if is_bearer else '',
+            idempotency_key=idempotency_key,
+            deadline_ms=None if deadline is None else int(deadline),
+            headers=_headers.select_for_service(request.headers),
+        )
+    )
+
+
+async def read_body(request, limit):
+    """Return the body of a request.
+
+    :param limit: most bytes that the route takes.
+    :returns: ``Success(bytes)`` or ``Failure(CallError)``.
+    """
+    length = request.content_length
+    if length is not None and length > limit:
+        return _calls.fail(_E.BODY_TOO_LARGE, f'at most {limit} bytes')
+    if not request.body_exists:
+        return result.Success(b'')
+    if request.headers.get('Expect', '').lower() == '100-continue':
+        await request.writer.write(CONTINUE)
+    parts, size = [], 0
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for chunk in request.content.iter_any():
+                size += len(chunk)
+                if size > limit:
+                    return _calls.fail(
+                        _E.BODY_TOO_LARGE, f'at most {limit} bytes'
+                    )
+                parts.append(chunk)
+    except TimeoutError:
+        return _calls.fail(_E.BAD_REQUEST, 'body came too slowly')
+    return result.Success(b''.join(parts))
+
+
+async def write_response(request, response, call_id, extra=()):
+    """Write a response whole, or abort the connection.
+
+    :param extra: further header pairs.
+    """
+    out = web.StreamResponse(status=response.status)
+    for name, value in _headers.select_for_caller(response.headers):
+        out.headers.add(name, value)
+    out.headers[_headers.CALL_ID] = call_id
+    for name, value in extra:
+        out.headers[name] = value
+    if response.length is not None:
+        out.content_length = response.length
+    try:
+        await _write_chunks(request, out, response)
+    except _calls.ResponseCut:
+        # Ending the body normally would pass a part off as the whole.
+        if request.transport is not None:
+            request.transport.abort()
+        raise
+    finally:
+        await response.close()
+    return out
+
+
+async def _write_chunks(request, out, response):
+    await out.prepare(request)
+    written = 0
+    async for chunk in response.chunks:
+        await out.write(chunk)
+        written += len(chunk)
+    if _has_body(request, response) and response.length not in (
+        None,
+        written,
+    ):
+        raise _calls.ResponseCut(f'{written} of {response.length} bytes')
+    await out.write_eof()
+
+
+def _has_body(request, response):
+    return request.method != 'HEAD' and response.status not in (204, 304)
+
+
+def _is_positive(text):
+    return text.isascii() and text.isdigit() and 0 < int(text) < 10**9
+
+
+@attrs.define
+class Exchanges:
+    """Count requests in progress, so that shutdown can wait for them.
+
+    :ivar count: requests in progress.
+    :ivar is_closing: whether new requests are refused.
+    """
+
+    count: int = 0
+    is_closing: bool = False
+
+    def __enter__(self):
+        self.count += 1
+        return self
+
+    def __exit__(self, *_exc_info):
+        self.count -= 1
--- a/libs/model/src/cactusloft_model/_events.py
+++ b/libs/model/src/cactusloft_model/_events.py
@@ -27,11 +27,17 @@
     CALL_DELIVERED = 204
     CALL_RETRIED = 205
     CALL_CUT = 206
+    CALL_SHED = 207
+    RETRY_DENIED = 208
     REQUEST_MALFORMED = 210
+    INTERNAL_ERROR = 290
     BACKEND_SERVER_ANNOUNCED = 300
     BACKEND_SERVER_DRAINING = 301
     BACKEND_SERVER_LEFT = 302
     BACKEND_SERVER_LOST = 303
+    CRASH_MARKED = 310
+    CRASH_MARK_CLEARED = 311
+    REQUEST_QUARANTINED = 312
     DOCUMENT_INSTALLED = 400
     DOCUMENT_APPLIED = 401
     DOCUMENT_REFUSED = 402
@@ -65,6 +71,8 @@
     :param hybrid_clock: :class:`clock.HybridClock` that stamps events.
     :param logger: structlog logger.
     :param kept: number of records kept in memory.
+
+    ``on_record`` is called with each event and its fields.
     """
 
     def __init__(self, daemon, hybrid_clock, logger, kept=KEPT_RECORDS):
@@ -72,12 +80,18 @@
         self._clock = hybrid_clock
         self._logger = logger
         self._records = collections.deque(maxlen=kept)
+        self.on_record = lambda event, fields: None
 
     def record(self, event, **fields):
         """Log ``event`` with its details."""
         stamp = self._clock.tick()
         self._records.append(Record(stamp, self._daemon, event, fields))
-        self._logger.info(event.name.lower(), event_id=int(event), **fields)
+        self.on_record(event, fields)
+        # Events of single calls are kept for the time line; writing each one
+        # out would cost more than the call's own bookkeeping.
+        is_call = Event.CALL_ACCEPTED <= event < Event.REQUEST_MALFORMED
+        log = self._logger.debug if is_call else self._logger.info
+        log(event.name.lower(), event_id=int(event), **fields)
 
     def list_records(self, since=clock.Stamp(0, 0)):
         """Return the kept records after ``since`` in order."""
