--- a/libs/consensus/src/cactusloft_consensus/_log.py
+++ b/libs/consensus/src/cactusloft_consensus/_log.py
@@ -101,6 +101,15 @@
                 members = decode_members(entry.data)
         return members
 
+    def find_version_at(self, index):
+        """Return the number of membership changes up to ``index``.
+
+        It is the same on all replicas, whenever they take snapshots.
+        """
+        entries = self.list_entries(self.snapshot.index + 1, index)
+        changes = (e.kind == _messages.EntryKind.MEMBERS for e in entries)
+        return self.snapshot.version + sum(changes)
+
     def _find_members(self):
         self.members = self.snapshot.members
         self.members_index = self.snapshot.index
--- a/libs/consensus/src/cactusloft_consensus/_messages.py
+++ b/libs/consensus/src/cactusloft_consensus/_messages.py
@@ -50,12 +50,14 @@
 
     :ivar members: membership in force at ``index``.
     :ivar data: state of the replicated state machine.
+    :ivar version: number of membership changes up to ``index``.
     """
 
     index: int
     term: int
     members: tuple[Member, ...]
     data: bytes
+    version: int = 0
 
 
 EMPTY_SNAPSHOT = Snapshot(0, 0, (), b'')
--- a/libs/consensus/src/cactusloft_consensus/_node.py
+++ b/libs/consensus/src/cactusloft_consensus/_node.py
@@ -140,7 +140,7 @@
         if self.log.last_index or self.log.members:
             return _refuse('this replica already belongs to a group')
         member = _messages.Member(self.replica_id, address, True)
-        snapshot = _messages.Snapshot(1, 1, (member,), b'')
+        snapshot = _messages.Snapshot(1, 1, (member,), b'', 1)
         self.log = _log.Log(snapshot)
         self.term = max(self.term, 1)
         self.commit = self._handed = snapshot.index
@@ -212,7 +212,10 @@
         """
         term = self.log.find_term(index)
         members = self.log.find_members_at(index)
-        self.log.replace(_messages.Snapshot(index, term, members, data))
+        version = self.log.find_version_at(index)
+        self.log.replace(
+            _messages.Snapshot(index, term, members, data, version)
+        )
         self._record_rewrite()
 
     def note_synced(self, sync_point, now):
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -26,6 +26,14 @@
     future: asyncio.Future
 
 
+@attrs.frozen
+class Membership:
+    """The members of the group and the version of this list."""
+
+    version: int
+    members: tuple[_messages.Member, ...]
+
+
 class Replica:
     """Run one replica of a group.
 
@@ -80,6 +88,15 @@
         """Return the :class:`Member` that leads, or None."""
         return self.find_member(self._node.leader_id)
 
+    @property
+    def membership(self):
+        """Return the committed :class:`Membership`."""
+        log, commit = self._node.log, self._node.commit
+        # An uncommitted change may be taken back.
+        return Membership(
+            log.find_version_at(commit), log.find_members_at(commit)
+        )
+
     @property
     def members(self):
         """Return the members of the group, empty before it is known."""
--- a/libs/consensus/tests/test_node.py
+++ b/libs/consensus/tests/test_node.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from cactusloft_consensus import messages
@@ -128,3 +129,15 @@
     envelope = messages.Envelope('b', 'former', messages.Vote(4, 9, 3))
     replica.receive(envelope, LATER)
     assert not replica.collect().synced_messages
+
+
+def test_membership_version_outlives_a_snapshot():
+    """Replicas with different snapshots would name the epoch differently."""
+    data = msgspec.msgpack.encode(MEMBERS[:2])
+    kind = messages.EntryKind.MEMBERS
+    changes = tuple(messages.Entry(i, 3, kind, data) for i in (2, 3))
+    replica = _make_node(entries=changes)
+    before = replica.log.find_version_at(3)
+    replica.compact(2, b'state')
+    assert replica.log.find_version_at(3) == before == 2
+    assert replica.log.snapshot.version == 1
--- a/libs/quota/src/cactusloft_quota/_allocator.py
+++ b/libs/quota/src/cactusloft_quota/_allocator.py
@@ -156,20 +156,25 @@
         The refill up to now goes by the shares before, which is the safe
         side when some of them expired meanwhile.
         """
-        elapsed = max(0.0, now - self._refilled_at)
-        self._refilled_at = max(now, self._refilled_at)
-        own_rate = max(0.0, self._rate - self.leased_rate)
-        own_rate *= 1 - _messages.REFILL_MARGIN
-        self._level += own_rate * elapsed
-        self._clip_level()
-        if now >= self._unknown_until:
+        if self._refilled_at < self._unknown_until <= now:
+            # All grants of an earlier allocator have expired.
+            self._earn(self._unknown_until)
             self._unknown_rate = self._unknown_burst = 0.0
+        self._earn(now)
         for key, holder in list(self._holders.items()):
             holder.shares = [s for s in holder.shares if s.expires_at > now]
             is_silent = now - holder.heard_at > 2 * _messages.LIFETIME_S
             if is_silent and not holder.shares:
                 del self._holders[key]
 
+    def _earn(self, until):
+        elapsed = max(0.0, until - self._refilled_at)
+        self._refilled_at = max(until, self._refilled_at)
+        own_rate = max(0.0, self._rate - self.leased_rate)
+        own_rate *= 1 - _messages.REFILL_MARGIN
+        self._level += own_rate * elapsed
+        self._clip_level()
+
     def _clip_level(self):
         room = max(0.0, self._burst - self.leased_burst)
         self._level = min(self._level, room)
