--- a/libs/consensus/src/cactusloft_consensus/_messages.py
+++ b/libs/consensus/src/cactusloft_consensus/_messages.py
@@ -49,18 +49,18 @@
     """State that replaces all entries up to ``index``.
 
     :ivar members: membership in force at ``index``.
-    :ivar members_index: index of the entry that set this membership.
     :ivar data: state of the replicated state machine.
+    :ivar version: number of membership changes up to ``index``.
     """
 
     index: int
     term: int
     members: tuple[Member, ...]
-    members_index: int
     data: bytes
+    version: int = 0
 
 
-EMPTY_SNAPSHOT = Snapshot(0, 0, (), 0, b'')
+EMPTY_SNAPSHOT = Snapshot(0, 0, (), b'')
 
 
 @attrs.frozen
--- a/libs/consensus/src/cactusloft_consensus/_node.py
+++ b/libs/consensus/src/cactusloft_consensus/_node.py
@@ -145,7 +145,7 @@
         if self.log.last_index or self.log.members:
             return _refuse('this replica already belongs to a group')
         member = _messages.Member(self.replica_id, address, True)
-        snapshot = _messages.Snapshot(1, 1, (member,), 1, b'')
+        snapshot = _messages.Snapshot(1, 1, (member,), b'', 1)
         self.log = _log.Log(snapshot)
         self.term = max(self.term, 1)
         self.commit = self._handed = snapshot.index
@@ -218,7 +218,7 @@
         term = self.log.find_term(index)
         membership = self.log.find_membership(index)
         snapshot = _messages.Snapshot(
-            index, term, membership.members, membership.index, data
+            index, term, membership.members, data, membership.version
         )
         self.log.replace(snapshot)
         self._record_rewrite()
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -93,7 +93,7 @@
 
     @property
     def membership(self):
-        """Return the committed membership with its index."""
+        """Return the committed :class:`Membership`."""
         return self._node.membership
 
     @property
