--- a/bench/src/cactusloft_bench/_policy_chain.py
+++ b/bench/src/cactusloft_bench/_policy_chain.py
@@ -42,11 +42,13 @@
     """What the services did.
 
     :ivar executions: calls that the deep service ran to the end.
+    :ivar front_runs: calls that the front service started.
     :ivar inversions: refusals of the highest class for overload while a
         lower class was admitted or queued at the same service.
     """
 
     executions: int = 0
+    front_runs: int = 0
     inversions: int = 0
 
 
@@ -101,6 +103,7 @@
         return await asyncio.shield(task)
 
     async def _serve(self, level):
+        self.counts.front_runs += level == 0
         await self._servers[CHAIN[level]].work()
         if level + 1 == len(CHAIN):
             self.counts.executions += 1
@@ -244,6 +247,7 @@
 
     async def _run(self, level, call):
         name = CHAIN[level]
+        self.counts.front_runs += level == 0
         self._used[name].note_call(KIND)
         await self._servers[name].work()
         if level + 1 == len(CHAIN):
--- a/bench/src/cactusloft_bench/_policy_clients.py
+++ b/bench/src/cactusloft_bench/_policy_clients.py
@@ -36,6 +36,7 @@
 
     requests: tuple[Request, ...]
     executions: int
+    front_runs: int
     inversions: int
 
 
@@ -102,5 +103,6 @@
     return RunRecord(
         tuple(clients.requests),
         services.counts.executions,
+        services.counts.front_runs,
         services.counts.inversions,
     )
--- a/bench/src/cactusloft_bench/_policy_measures.py
+++ b/bench/src/cactusloft_bench/_policy_measures.py
@@ -87,5 +87,11 @@
     return record.executions / max(1, done)
 
 
+def measure_wasted(record, _scenario):
+    """Return calls started at the front for each complete request."""
+    done = sum(1 for r in record.requests if r.done_at is not None)
+    return record.front_runs / max(1, done)
+
+
 def _mean(values):
     return sum(values) / len(values) if values else 1.0
--- a/bench/src/cactusloft_bench/policy.py
+++ b/bench/src/cactusloft_bench/policy.py
@@ -84,6 +84,11 @@
         scenarios.FIVEFOLD,
         measures.measure_critical,
     ),
+    Measure(
+        'calls started at the front for each complete request, 5x',
+        scenarios.FIVEFOLD,
+        measures.measure_wasted,
+    ),
     Measure(
         'deep executions for each complete request, slow deep',
         scenarios.SLOW,
