Accept slowness that a smaller limit does not mend

Cause: the limit could not tell a backend server that has too much to do from one that waits for a slow deeper service. It shrank to a tenth of the slots in both cases and was still small when the slow period ended. Change: when the limit is at 0.7 of its value at the start of the slowdown and latency has not come down from its peak by 15%, the long latency takes over the growth. A window now lasts at least one mean latency, or the effect of the last change would not show. Without successes nothing is accepted.

--- a/libs/admission/src/cactusloft_admission/_limit.py
+++ b/libs/admission/src/cactusloft_admission/_limit.py
@@ -15,6 +15,7 @@
 from cactusloft_admission import _tickets
 
 KEPT_KINDS = 64
+LONGEST_WINDOW_S = 1.0
 
 
 @attrs.frozen
@@ -30,6 +31,10 @@
     :ivar rise: share of a higher short latency in the long one, per window.
     :ivar fall: share of a lower short latency in the long one, per window.
     :ivar lowest_share: smallest limit as a share of the slots.
+    :ivar probe_share: share of the limit at which it must have helped.
+    :ivar lag_windows: windows until a cut shows in the latency.
+    :ivar least_help: largest remaining share of the growth of latency that
+        counts as help.
     """
 
     window_s: float = 0.1
@@ -41,6 +46,9 @@
     rise: float = 0.01
     fall: float = 0.3
     lowest_share: float = 0.1
+    probe_share: float = 0.7
+    lag_windows: int = 1
+    least_help: float = 0.85
 
 
 @attrs.define
@@ -55,6 +63,20 @@
         return sum(len(values) for values in self.latencies.values())
 
 
+@attrs.define
+class _Slowdown:
+    """Growth of latency since cutting began.
+
+    :ivar peak: largest growth seen.
+    :ivar limit: limit when cutting began.
+    :ivar windows: windows since the limit was cut enough to judge.
+    """
+
+    peak: float
+    limit: float
+    windows: int = 0
+
+
 class ConcurrencyLimit:
     """Number of calls that a backend server should run at once.
 
@@ -69,6 +91,8 @@
         self._limit = float(slots)
         self._long = collections.OrderedDict()
         self._window = _Window(now)
+        self._slowdown = None
+        self._latency_s = 0.0
 
     @property
     def value(self):
@@ -106,14 +130,19 @@
 
     def _is_window_full(self, now):
         window = self._window
-        if now - window.started_at < self._settings.window_s:
+        # At least one latency, or the effect of the last change on the calls
+        # in flight would not show yet.
+        length_s = max(self._settings.window_s, self._latency_s)
+        if now - window.started_at < length_s:
             return False
         samples = window.count() + window.shed
         return samples >= self._settings.window_samples
 
     def _close_window(self, now):
         window, self._window = self._window, _Window(now)
-        gradient = self._compute_gradient(window)
+        growth = self._measure_growth(window)
+        self._judge_slowdown(growth, window)
+        gradient = self._compute_gradient(growth)
         if window.shed:
             gradient = min(gradient, 0.9)
         target = self._limit * gradient
@@ -125,14 +154,18 @@
         lowest = max(1.0, self._settings.lowest_share * self._slots)
         self._limit = min(float(self._slots), max(lowest, mixed))
 
-    def _compute_gradient(self, window):
-        """Return the mean gradient of the kinds, weighted by calls."""
-        weighted, count = 0.0, 0
+    def _measure_growth(self, window):
+        """Return short by long latency, as the mean over all calls."""
+        weighted, count, total_s = 0.0, 0, 0.0
         for kind, latencies in window.latencies.items():
             short = _pick_quantile(latencies, self._settings.quantile)
             weighted += len(latencies) * self._compare(kind, short)
             count += len(latencies)
-        return weighted / count if count else 1.0
+            total_s += sum(latencies)
+        if not count:
+            return 1.0
+        self._latency_s = min(LONGEST_WINDOW_S, total_s / count)
+        return weighted / count
 
     def _compare(self, kind, short):
         settings = self._settings
@@ -142,10 +175,37 @@
         self._long.move_to_end(kind)
         if len(self._long) > KEPT_KINDS:
             self._long.popitem(last=False)
-        if short <= 0:
-            return 1.0
-        gradient = settings.tolerance * long / short
-        return min(1.0, max(settings.lowest_gradient, gradient))
+        return short / long if long > 0 else 1.0
+
+    def _compute_gradient(self, growth):
+        gradient = self._settings.tolerance / growth if growth > 0 else 1.0
+        return min(1.0, max(self._settings.lowest_gradient, gradient))
+
+    def _judge_slowdown(self, growth, window):
+        """Accept a slowness that cutting the limit has not mended.
+
+        Its cause is elsewhere, as in a slow service deeper in the chain, and
+        a small limit would only add to the loss of throughput.
+        """
+        settings = self._settings
+        if growth <= settings.tolerance:
+            self._slowdown = None
+            return
+        if self._slowdown is None:
+            self._slowdown = _Slowdown(growth, self._limit)
+        found = self._slowdown
+        found.peak = max(found.peak, growth)
+        if self._limit > settings.probe_share * found.limit:
+            return
+        found.windows += 1
+        if found.windows <= settings.lag_windows:
+            return
+        self._slowdown = None
+        is_helped = growth <= settings.least_help * found.peak
+        # Without successes the backend server may be frozen.
+        if window.successes and not is_helped:
+            for kind in self._long:
+                self._long[kind] *= growth
 
 
 def _pick_quantile(values, quantile):
