--- a/daemon/src/cactusloftd/_entry.py
+++ b/daemon/src/cactusloftd/_entry.py
@@ -190,6 +190,7 @@
         return await self._try_owners(call)
 
     async def _try_owners(self, call):
+        await self._members.prepare(call.context.service)
         tried = set()
         outcome = _calls.fail(_E.NO_BACKEND_SERVER)
         while len(tried) < MAX_OWNERS_TRIED:
@@ -237,8 +238,7 @@
             return self._name, self._owner
         member = self._members.choose(service, tried | {self._name})
         if member is not None:
-            link = self._members.connect(member)
-            return member.name, _peers.RemoteOwner(link, self._now)
+            return member.name, self._members.make_runner(member)
         if is_local and self._name not in tried:
             return self._name, self._owner
         return None, None
--- a/daemon/src/cactusloftd/_marks.py
+++ b/daemon/src/cactusloftd/_marks.py
@@ -1,7 +1,7 @@
 """Crash marks of this daemon, and their way to the other daemons.
 
-Marks go straight to the known peers. A daemon that was away gets them with
-the next repetition.
+Marks go to the control hosts, which pass them on to all daemons. A daemon that
+was away gets them with the next repetition.
 """
 
 import asyncio
@@ -30,13 +30,16 @@
 
     :param name: name of this daemon.
     :param members: :class:`_members.Members`.
+    :param registrations: :class:`_members.RegistrationServer` of this daemon,
+        empty unless it is a control host.
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, name, members, log, now):
+    def __init__(self, name, members, registrations, log, now):
         self._name = name
         self._members = members
+        self._registrations = registrations
         self._log = log
         self._book = marks.MarkBook(name, now)
         self._incarnation = secrets.token_hex(4)
@@ -113,6 +116,8 @@
         """Take over marks from a peer; the handler of ``MarkNews``."""
         for mark in message.marks:
             self._book.merge(mark)
+        if message.is_for_all:
+            await self._relay(message.marks)
         return _messages.MarkReceipt()
 
     async def answer_permit(self, message, _age_s):
@@ -127,7 +132,7 @@
         origin = self._book.find_origin(fingerprint)
         if origin == self._name:
             return (await self.answer_permit(request, 0.0)).is_given
-        member = self._members.find(origin)
+        member = await self._members.resolve(origin)
         if member is None:
             return False
         link = self._members.connect(member)
@@ -138,17 +143,21 @@
     async def _spread(self, found):
         if not found:
             return
-        news = _messages.MarkNews(tuple(found))
-        peers = (
-            member
-            for member in self._members.list_members()
+        news = _messages.MarkNews(tuple(found), is_for_all=True)
+        links = self._members.list_control_links()
+        await asyncio.gather(*(self._send(link, news) for link in links))
+
+    async def _relay(self, found):
+        """Pass marks on to all daemons that registered here."""
+        news = _messages.MarkNews(found, is_for_all=False)
+        links = [
+            self._members.connect(member)
+            for member in self._registrations.list_all()
             if member.name != self._name
-        )
-        sends = [self._send(member, news) for member in peers]
-        await asyncio.gather(*sends)
+        ]
+        await asyncio.gather(*(self._send(link, news) for link in links))
 
-    async def _send(self, member, news):
-        link = self._members.connect(member)
+    async def _send(self, link, news):
         try:
             async with asyncio.timeout(SPREAD_TIMEOUT_S):
                 await link.wait_until_up(SPREAD_TIMEOUT_S)
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -6,6 +6,7 @@
 import attrs
 
 import cactusloft_link as link
+from cactusloft_membership import registry
 from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_retry import marks as retry_marks
@@ -92,9 +93,13 @@
 
 @attrs.frozen
 class MarkNews:
-    """Crash marks that another daemon made or cleared."""
+    """Crash marks that another daemon made or cleared.
+
+    :ivar is_for_all: whether the receiver, a control host, passes them on.
+    """
 
     marks: tuple[retry_marks.Mark, ...]
+    is_for_all: bool
 
 
 @attrs.frozen
@@ -121,27 +126,25 @@
 class Register:
     """A daemon's registration with a control host.
 
-    :ivar service: service of the backend server beside it, or empty.
-    :ivar is_serving: whether it takes new work.
+    :ivar services: services whose members the daemon asks for.
     """
 
-    name: str
-    incarnation: str
-    host: str
-    data_centre: str
-    peers: str
-    admin: str
-    public_key: str
-    service: str
-    slots: int
-    is_serving: bool
+    registration: registry.Registration
+    services: tuple[str, ...]
 
 
 @attrs.frozen
 class Registrations:
-    """All registrations that a control host knows."""
+    """Members of the services that were asked for."""
+
+    members: tuple[registry.Registration, ...]
 
-    members: tuple[Register, ...]
+
+@attrs.frozen
+class Lookup:
+    """Ask a control host for the registration of one daemon."""
+
+    name: str
 
 
 CODEC = link.Codec(
@@ -152,6 +155,7 @@
         4: Refusal,
         10: Register,
         11: Registrations,
+        12: Lookup,
         30: RetryCreditRequest,
         31: RetryCredit,
         32: MarkNews,
--- a/daemon/src/cactusloftd/_owner.py
+++ b/daemon/src/cactusloftd/_owner.py
@@ -11,6 +11,7 @@
 
 from cactusloft_admission import controller
 from cactusloft_admission import pressure
+from cactusloft_membership import announcements
 from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_model import events
@@ -18,70 +19,57 @@
 from cactusloftd import _delivery
 from cactusloftd import _gate
 
-LEASE_S = 3.0
 _E = errors.ErrorKind
 _G = controller.Verdict
 _O = controller.Outcome
 
 
-@attrs.frozen
-class Announcement:
-    """What a backend server says of itself.
-
-    :ivar instance: identity of the process, new after a restart.
-    :ivar url: base URL under which it takes calls.
-    :ivar slots: calls that it can run at once.
-    :ivar connections: connections that it accepts.
-    """
-
-    service: str
-    instance: str
-    url: str
-    slots: int
-    connections: int
-
-
 class Owner:
     """Admit calls to the backend server and deliver them.
 
     :param config: :class:`_config.Config`.
     :param guards: :class:`_guards.Guards`.
     :param log: :class:`events.EventLog`.
+    :param metrics: :class:`_metrics.Metrics`.
     :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, config, guards, log, now):
+    def __init__(self, config, guards, log, metrics, now):
         self._config = config
         self._flow = guards.flow
         self._marks = guards.marks
         self._retries = guards.retries
         self._log = log
+        self._metrics = metrics
         self._now = now
-        self._announcement = None
+        self._server = announcements.LocalServer()
         self._delivery = None
+        self._retired = []
         self._gate = None
-        self._lease_until = 0.0
-        self._is_draining = False
         self._tokens = {}
         self._loss_id = ''
+        self.on_change = lambda: None
 
     @property
     def announcement(self):
-        """Return the live :class:`Announcement`, or None."""
-        if self._now() >= self._lease_until:
-            return None
-        return self._announcement
+        """Return the live :class:`announcements.Announcement`, or None."""
+        return self._server.find_announcement(self._now())
 
     @property
     def is_serving(self):
         """Tell whether new work is taken."""
-        return self.announcement is not None and not self._is_draining
+        return self._server.is_serving(self._now())
 
     @property
     def in_flight(self):
         """Return the number of calls that run or wait for a slot."""
         return self._gate.held if self._gate else 0
 
+    @property
+    def admission(self):
+        """Return the :class:`controller.Admission`, or None."""
+        return self._gate.admission if self._gate else None
+
     @property
     def has_free_slot(self):
         """Tell whether a call would start at once."""
@@ -89,33 +77,53 @@
 
     async def announce(self, announcement):
         """Take a new announcement, or renew the lease of a known one."""
-        if announcement != self._announcement:
-            old = self._delivery
-            self._install(announcement)
-            if old is not None:
-                await old.close()
-        self._lease_until = self._now() + LEASE_S
+        self.expire()
+        if not self._server.announce(announcement, self._now()):
+            return
+        self._install(announcement)
+        self.on_change()
+        await self._close_retired()
 
     def _install(self, announcement):
-        known = self._announcement
-        is_new = known is None or known.instance != announcement.instance
+        if self._delivery is not None:
+            self._retired.append(self._delivery)
         self._delivery = _delivery.Delivery(
             announcement.url, announcement.connections, self._now
         )
-        self._announcement = announcement
-        self._is_draining = False
-        if is_new:
-            admission = controller.Admission(announcement.slots, self._now)
-            self._gate = _gate.Gate(admission, self._now)
-            self._loss_id = self._marks.make_loss_id()
-        else:
-            self._gate.admission.set_slots(announcement.slots)
+        admission = controller.Admission(announcement.slots, self._now)
+        self._gate = _gate.Gate(admission, self._now)
+        self._loss_id = self._marks.make_loss_id()
         self._log.record(
             events.Event.BACKEND_SERVER_ANNOUNCED,
             service=announcement.service,
             instance=announcement.instance,
         )
 
+    async def _close_retired(self):
+        """Close deliveries to former processes that have no call left.
+
+        A process that shuts down finishes its calls beside its successor.
+        """
+        used = {run.delivery for _, run in self._tokens.values()}
+        idle = [d for d in self._retired if d not in used]
+        self._retired = [d for d in self._retired if d in used]
+        for delivery in idle:
+            await delivery.close()
+
+    def expire(self):
+        """Note the loss of a backend server that stayed silent."""
+        lost = self._server.expire(self._now())
+        if lost is not None:
+            self._note_lost(lost)
+
+    def _note_lost(self, lost):
+        self._log.record(
+            events.Event.BACKEND_SERVER_LOST,
+            service=lost.service,
+            instance=lost.instance,
+        )
+        self.on_change()
+
     def report_load(self, load, slots):
         """Judge a load report of the backend server.
 
@@ -127,23 +135,26 @@
 
     def drain(self):
         """Take no new work; calls in flight go on."""
-        if not self._is_draining:
-            self._is_draining = True
+        if self._server.drain(self._now()):
             self._log.record(events.Event.BACKEND_SERVER_DRAINING)
+            self.on_change()
 
     def leave(self):
         """Forget the backend server."""
-        self._lease_until = 0.0
-        self._log.record(events.Event.BACKEND_SERVER_LEFT)
+        if self._server.leave():
+            self._log.record(events.Event.BACKEND_SERVER_LEFT)
+            self.on_change()
 
     async def close(self):
         """Close the connections to the backend server."""
-        if self._delivery is not None:
-            await self._delivery.close()
+        for delivery in (self._delivery, *self._retired):
+            if delivery is not None:
+                await delivery.close()
 
     def find_parent(self, token):
         """Return the running :class:`_calls.Call` with ``token``, or None."""
-        return self._tokens.get(token)
+        call, _run = self._tokens.get(token, (None, None))
+        return call
 
     def read_pressure(self, call):
         """Return the pressure to report with the answer of ``call``."""
@@ -159,7 +170,7 @@
         """
         if not self.is_serving:
             return _calls.fail(_E.NO_BACKEND_SERVER, 'not serving')
-        if self._announcement.service != call.context.service:
+        if self.announcement.service != call.context.service:
             return _calls.fail(_E.NO_BACKEND_SERVER, 'other service')
         fingerprint = call.context.fingerprint
         while True:
@@ -176,6 +187,7 @@
         gate, fingerprint = self._gate, call.context.fingerprint
         ticket = self._make_ticket(call, is_alone)
         is_started = False
+        waits_since = self._now()
         try:
             verdict = await gate.enter(ticket)
             is_started = verdict is _G.STARTED
@@ -184,10 +196,16 @@
                 await self._marks.return_claim(fingerprint)
         if not is_started:
             return self._refuse(call, verdict)
+        self._metrics.record(
+            'cactusloft_queue_wait_seconds',
+            self._now() - waits_since,
+            call.context.priority.name.lower(),
+        )
         if not is_alone and not self._marks.is_ordinary(fingerprint):
             gate.leave(ticket, _O.ERROR, 0.0)
             return None
-        return await self._deliver(call, _Run(gate, ticket, self._loss_id))
+        run = _Run(gate, ticket, self._delivery, self._loss_id)
+        return await self._deliver(call, run)
 
     def _refuse(self, call, verdict):
         self._log.record(
@@ -204,11 +222,11 @@
 
     async def _deliver(self, call, run):
         run.token = secrets.token_hex(calls.CALL_ID_BYTES)
-        self._tokens[run.token] = call
+        self._tokens[run.token] = call, run
         self._flow.note_call(call)
         is_kept = False
         try:
-            outcome = await self._delivery.send(call, run.token)
+            outcome = await run.delivery.send(call, run.token)
             run.note_outcome(outcome, self._now())
             if isinstance(outcome, result.Success):
                 is_kept = True
@@ -244,13 +262,10 @@
 
     def _note_unreachable(self, run):
         """Take no new work until the backend server announces itself."""
-        if run.gate is self._gate and self.announcement is not None:
-            self._lease_until = 0.0
-            self._log.record(
-                events.Event.BACKEND_SERVER_LOST,
-                service=self._announcement.service,
-                instance=self._announcement.instance,
-            )
+        lost = self.announcement
+        if run.gate is self._gate and lost is not None:
+            self._server.leave()
+            self._note_lost(lost)
 
     def _make_ticket(self, call, is_alone):
         context = call.context
@@ -292,6 +307,7 @@
         if self._tokens.pop(run.token, None) is None:
             return
         run.gate.leave(run.ticket, run.outcome, run.latency_s)
+        self._metrics.count('cactusloft_deliveries_total', run.outcome.value)
         self._retries.forget_nested(call.context.call_id)
         if run.ticket.alone and run.is_answered and not run.is_lost:
             self._marks.report_success(call.context.fingerprint)
@@ -306,6 +322,7 @@
 
     gate: _gate.Gate
     ticket: controller.Ticket
+    delivery: _delivery.Delivery
     loss_id: str
     token: str = ''
     outcome: controller.Outcome = controller.Outcome.ABANDONED
--- a/daemon/src/cactusloftd/_retries.py
+++ b/daemon/src/cactusloftd/_retries.py
@@ -104,7 +104,7 @@
     async def _take_credit(self, context):
         if context.root_entry == self._name:
             return self._roots.take(context.root_call_id)
-        member = self._members.find(context.root_entry)
+        member = await self._members.resolve(context.root_entry)
         if member is None:
             return False
         request = _messages.RetryCreditRequest(context.root_call_id)
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -1,15 +1,18 @@
 """A whole daemon: its parts, their start and their shutdown."""
 
 import asyncio
+import collections
+import itertools
 import pathlib
 import random
-import secrets
 import time
 
 from aiohttp import web
 import structlog
 
 import cactusloft_link as link
+from cactusloft_membership import choice
+from cactusloft_membership import registry
 from cactusloft_model import clock
 from cactusloft_model import events
 from cactusloftd import _backend
@@ -23,6 +26,7 @@
 from cactusloftd import _marks
 from cactusloftd import _members
 from cactusloftd import _messages
+from cactusloftd import _metrics
 from cactusloftd import _owner
 from cactusloftd import _peers
 from cactusloftd import _retries
@@ -45,12 +49,15 @@
 
     def __init__(self, settings):
         self._settings = settings
-        self._incarnation = secrets.token_hex(8)
+        self._incarnation = time.time_ns() // 10**6
+        self._sequence = itertools.count(1)
         now = time.monotonic
         hybrid_clock = clock.HybridClock(lambda: time.time_ns() // 10**6)
         self._log = events.EventLog(
             settings.name, hybrid_clock, structlog.get_logger()
         )
+        self._metrics = _metrics.Metrics()
+        self._log.on_record = self._metrics.count_event
         security = settings.security
         self._node = link.Node(
             _messages.CODEC,
@@ -60,13 +67,23 @@
         )
         self._node.on_event = self._record_link_event
         self._members = _members.Members(
-            self._node, settings.control_hosts, self._describe, random.Random()
+            self._node,
+            settings.control_hosts,
+            self._describe,
+            choice.View(settings.name, settings.data_centre, random.Random()),
+            now,
+        )
+        self._registrations = _members.RegistrationServer(
+            registry.Registry(), now
         )
-        self._registry = _members.Registry(now)
         text = pathlib.Path(settings.document_file).read_text()
         config = _config.FileConfig(text)
         self._guards = self._make_guards(config, now)
-        self._owner = _owner.Owner(config, self._guards, self._log, now)
+        self._owner = _owner.Owner(
+            config, self._guards, self._log, self._metrics, now
+        )
+        self._is_changed = asyncio.Event()
+        self._owner.on_change = self._is_changed.set
         self._entry = _entry.Entry(
             settings.name,
             config,
@@ -79,12 +96,13 @@
         self._exchanges = _http.Exchanges()
         self._runners = []
         self._call_server = _peers.CallServer(self._owner, now)
+        self._observe()
 
     def _make_guards(self, config, now):
         name, members, log = self._settings.name, self._members, self._log
         return _guards.Guards(
             _flow.Flow(config, random.Random(), now),
-            _marks.Marks(name, members, log, now),
+            _marks.Marks(name, members, self._registrations, log, now),
             _retries.Retries(name, config, members, log, now),
         )
 
@@ -93,7 +111,7 @@
         await self._start()
         self._log.record(_V.DAEMON_STARTED, incarnation=self._incarnation)
         tasks = [
-            asyncio.create_task(self._members.run()),
+            asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._guards.marks.run()),
         ]
         await stop.wait()
@@ -107,14 +125,50 @@
     async def _start(self):
         listeners = self._settings.listeners
         self._node.handle_streams(_messages.CallStart, self._call_server.serve)
-        self._node.handle_requests(_messages.Register, self._registry.register)
+        self._node.handle_requests(
+            _messages.Register, self._registrations.register
+        )
+        self._node.handle_requests(
+            _messages.Lookup, self._registrations.look_up
+        )
         self._guards.handle_messages(self._node)
         self._node.listen(listeners.peers)
-        callers = _callers.Callers(self._entry, self._exchanges, self._log)
-        backend = _backend.Backend(self._entry, self._owner, self._exchanges)
+        callers = _callers.Callers(
+            self._entry, self._exchanges, self._log, self._metrics
+        )
+        backend = _backend.Backend(
+            self._entry, self._owner, self._exchanges, self._metrics
+        )
         await self._listen(listeners.callers, callers.handle)
         await self._listen(listeners.backend, backend.handle)
 
+    def _observe(self):
+        """Name the sources of the gauges."""
+        observe = self._metrics.observe_number
+        owner, exchanges = self._owner, self._exchanges
+        observe('cactusloft_in_flight_calls', lambda: owner.in_flight)
+        observe('cactusloft_queued_calls', self._read_queued)
+        observe('cactusloft_concurrency_limit_calls', self._read_limit)
+        observe('cactusloft_open_exchanges', lambda: exchanges.count)
+        observe(
+            'cactusloft_backend_server_lease',
+            lambda: int(owner.announcement is not None),
+        )
+        self._metrics.observe('cactusloft_members', self._count_members)
+
+    def _read_queued(self):
+        admission = self._owner.admission
+        return admission.queued if admission else None
+
+    def _read_limit(self):
+        admission = self._owner.admission
+        return admission.compute_limit() if admission else None
+
+    def _count_members(self):
+        services = (m.service for m in self._members.list_members())
+        counts = collections.Counter(services)
+        return {(service,): count for service, count in counts.items()}
+
     async def _listen(self, endpoint, handler):
         runner = web.ServerRunner(_http_server.HttpServer(handler, self._log))
         await runner.setup()
@@ -132,6 +186,17 @@
         while time.monotonic() < limit and self._is_busy():
             await asyncio.sleep(SHUTDOWN_POLL_S)
 
+    async def _keep_registered(self):
+        while True:
+            self._owner.expire()
+            self._is_changed.clear()
+            await self._members.register_once()
+            try:
+                async with asyncio.timeout(_members.REGISTER_INTERVAL_S):
+                    await self._is_changed.wait()
+            except TimeoutError:
+                continue
+
     def _is_busy(self):
         return self._exchanges.count > 0 or self._owner.in_flight > 0
 
@@ -139,20 +204,23 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._owner.close()
+        self._metrics.close()
         self._node.close()
 
     def _describe(self):
         settings = self._settings
         announcement = self._owner.announcement
-        return _messages.Register(
+        return registry.Registration(
             name=settings.name,
             incarnation=self._incarnation,
+            sequence=next(self._sequence),
             host=settings.host,
             data_centre=settings.data_centre,
             peers=settings.listeners.peers,
             admin=settings.listeners.admin,
             public_key=settings.security.key_pair.public.decode(),
             service=announcement.service if announcement else '',
+            instance=announcement.instance if announcement else '',
             slots=announcement.slots if announcement else 0,
             is_serving=self._owner.is_serving,
         )
