Let pressure fall faster once calls fit

Cause: after the slow period the level fell from 3 in more than a second, while the deep service had room. Change: steps of 0.05 doubling to 0.8 instead of 0.02 to 0.4. A fall that goes too far costs little, since the owner sheds the excess itself and the next rise is computed, not stepped.

--- a/libs/admission/src/cactusloft_admission/_meter.py
+++ b/libs/admission/src/cactusloft_admission/_meter.py
@@ -10,8 +10,8 @@
 from cactusloft_model import calls
 
 WINDOW_S = 0.1
-FIRST_STEP = 0.02
-LARGEST_STEP = 0.4
+FIRST_STEP = 0.05
+LARGEST_STEP = 0.8
 # Offered calls for each started one: above the first the level rises towards
 # the second, and below the third it falls.
 RAISE_ABOVE = 1.25
