--- /dev/null
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -0,0 +1,119 @@
+"""Answers to watches, on control hosts.
+
+A control host answers from what it has installed: from its control replica
+while that is confirmed, otherwise from another control host that it watches.
+"""
+
+import asyncio
+import typing
+
+from cactusloft_model import document
+from cactusloftd import _installed
+from cactusloftd import _messages
+
+MAX_HOLD_S = 2.0
+
+
+class TableOwner(typing.Protocol):
+    """State that control hosts relay without reading it."""
+
+    def exchange(self, daemon: str, request: _messages.TableRequest):
+        """Take a daemon's report; return a newer ``Table``, or None."""
+
+
+class WatchServer:
+    """Serve ``Watch`` requests.
+
+    :param installed: :class:`_installed.Installed`.
+    :param watcher: :class:`_watch.Watcher` that keeps it current.
+    :param now: function that returns monotonic seconds.
+    """
+
+    def __init__(self, installed, watcher, now):
+        self._installed = installed
+        self._watcher = watcher
+        self._now = now
+        self._owners = {}
+        self._changed = None
+
+    def attach(self, name, owner):
+        """Relay the table ``name`` of a :class:`TableOwner`."""
+        self._owners[name] = owner
+
+    def notify(self):
+        """Wake the waiting watches after any change."""
+        if self._changed is not None:
+            self._changed.set()
+            self._changed = None
+
+    async def answer(self, watch, _age_s):
+        """Answer at once if anything changed, else after the hold time."""
+        limit = self._now() + min(watch.hold_ms / 1000, MAX_HOLD_S)
+        while True:
+            tables = self._exchange(watch)
+            has_changed = self._has_changed(watch)
+            remaining = limit - self._now()
+            if tables or has_changed or remaining <= 0:
+                return self._make_answer(watch, tables)
+            await self._wait(remaining)
+
+    def _has_changed(self, watch):
+        if self._installed.version.number > watch.version:
+            return True
+        group = self._watcher.group
+        # Without a confirmation, the asker would not take the group.
+        is_confirmed = self._installed.is_fresh()
+        known = watch.epoch, watch.leader
+        return is_confirmed and known != (group.epoch, group.leader)
+
+    async def _wait(self, timeout_s):
+        if self._changed is None:
+            self._changed = asyncio.Event()
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+        except TimeoutError:
+            # The hold time is over: the caller answers without a change.
+            return
+
+    def _exchange(self, watch):
+        answers = (
+            self._owners[request.name].exchange(watch.daemon, request)
+            for request in watch.tables
+            if request.name in self._owners
+        )
+        return tuple(table for table in answers if table is not None)
+
+    def _make_answer(self, watch, tables):
+        self._watcher.take_local()
+        installed = self._installed
+        base_version, changes = 0, None
+        if installed.version.number > watch.version:
+            base_version, changes = self._list_changes(watch)
+        group = self._watcher.group
+        if (group.epoch, group.leader) == (watch.epoch, watch.leader):
+            group = None
+        age_s = None
+        if installed.confirmed_at is not None:
+            age_s = installed.age_s
+        return _messages.WatchAnswer(
+            version=installed.version.number,
+            change_id=installed.version.change_id,
+            age_s=age_s,
+            relays=self._watcher.relays,
+            group=group,
+            base_version=base_version,
+            changes=changes,
+            tables=tables,
+        )
+
+    def _list_changes(self, watch):
+        """Return the base version and the changes from there."""
+        known = _installed.Version(watch.version, watch.change_id)
+        base = self._installed.find_document(known)
+        base_version = watch.version
+        if base is None:
+            base, base_version = document.EMPTY_DOCUMENT, 0
+        changes = document.list_changes(
+            base.sections, self._installed.current.sections
+        )
+        return base_version, changes
--- a/libs/consensus/src/cactusloft_consensus/_log.py
+++ b/libs/consensus/src/cactusloft_consensus/_log.py
@@ -1,5 +1,6 @@
 """In-memory log of one replica: a snapshot and the entries after it."""
 
+import attrs
 import msgspec
 
 from cactusloft_consensus import _messages
@@ -7,6 +8,18 @@
 MAX_APPEND_BYTES = 1024 * 1024
 
 
+@attrs.frozen
+class Membership:
+    """Members of the group after a number of changes.
+
+    :ivar version: number of changes since the bootstrap. It is the same on
+        all replicas, whenever they take snapshots.
+    """
+
+    version: int
+    members: tuple[_messages.Member, ...]
+
+
 class Log:
     """Entries after a snapshot, with the membership that they define.
 
@@ -93,13 +106,14 @@
         self._entries = list(rest)
         self._find_members()
 
-    def find_members_at(self, index):
-        """Return the membership in force at ``index``."""
-        members = self.snapshot.members
+    def find_membership(self, index):
+        """Return the :class:`Membership` in force at ``index``."""
+        found = Membership(self.snapshot.version, self.snapshot.members)
         for entry in self.list_entries(self.snapshot.index + 1, index):
             if entry.kind == _messages.EntryKind.MEMBERS:
                 members = decode_members(entry.data)
-        return members
+                found = Membership(found.version + 1, members)
+        return found
 
     def _find_members(self):
         self.members = self.snapshot.members
