Ask whether a message waits before receiving it

Two checks of three found nothing, and each raised and discarded an exception of ZeroMQ (5831 for 1901 calls in the profile of an entry).

--- a/libs/link/src/cactusloft_link/_socket.py
+++ b/libs/link/src/cactusloft_link/_socket.py
@@ -65,9 +65,8 @@
         for _ in range(RECEIVE_BATCH):
             if self._socket.closed:
                 return
-            try:
-                parts = self._socket.recv_multipart(zmq.NOBLOCK)
-            except zmq.Again:
+            # Most checks find nothing; asking costs less than the exception.
+            if not self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
                 return
-            self._on_parts(parts)
+            self._on_parts(self._socket.recv_multipart(zmq.NOBLOCK))
         self._schedule_check()
