--- a/bench/src/cactusloft_bench/_fleet.py
+++ b/bench/src/cactusloft_bench/_fleet.py
@@ -39,13 +39,11 @@
         document,
         log_level='info',
         is_profiled=False,
-        is_replicated=False,
     ):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='cactusloft-'))
         self._document = document
         self._log_level = log_level
         self._is_profiled = is_profiled
-        self._is_replicated = is_replicated
         self._placed = {
             host.name: _hosts.place_host(host, number, self.folder)
             for number, host in enumerate(hosts)
@@ -60,8 +58,7 @@
                 self.start_daemon(name)
             for name in self._placed:
                 self.wait_for_daemon(name)
-            if self._is_replicated:
-                self._start_control()
+            self._start_control()
             for name, placed in self._placed.items():
                 if placed.host.service:
                     self.start_stand_in(name)
@@ -236,14 +233,11 @@
         return [n for n, p in self._placed.items() if p.host.is_control]
 
     def _write_files(self):
-        document_path = self.folder / 'document.ini'
-        document_path.write_text(self._document)
         keys = [p.key_pair.public.decode() for p in self._placed.values()]
         (self.folder / 'allowed_keys').write_text('\n'.join(keys) + '\n')
         control = [p for p in self._placed.values() if p.host.is_control]
         for placed in self._placed.values():
-            path = '' if self._is_replicated else document_path
-            _hosts.write_settings(placed, control, self._log_level, path)
+            _hosts.write_settings(placed, control, self._log_level)
 
     async def _wait_until_whole(self, request, names):
         limit = time.monotonic() + START_TIMEOUT_S
--- a/bench/src/cactusloft_bench/_hosts.py
+++ b/bench/src/cactusloft_bench/_hosts.py
@@ -97,7 +97,7 @@
     )
 
 
-def write_settings(placed, control, log_level, document_path):
+def write_settings(placed, control, log_level):
     """Write the settings of a host's daemon.
 
     :param control: :class:`PlacedHost` of each control host.
@@ -119,12 +119,9 @@
         f'allowed_keys = {placed.folder.parent / "allowed_keys"}',
         '[control_hosts]',
         *(_render_control_host(other) for other in control),
-        '[control]',
     ]
-    if document_path:
-        lines.append(f'document_file = {document_path}')
-    elif host.is_control:
-        lines.append(f'data_folder = {placed.folder / "data"}')
+    if host.is_control:
+        lines += ['[control]', f'data_folder = {placed.folder / "data"}']
     path = placed.folder / 'daemon.ini'
     path.touch(mode=0o600)
     path.write_text('\n'.join(lines) + '\n')
--- a/bench/src/cactusloft_bench/_operator.py
+++ b/bench/src/cactusloft_bench/_operator.py
@@ -38,6 +38,21 @@
 
     def ask(self, method, path, body=None):
         """Send a request and return its :class:`OperatorAnswer`."""
+        try:
+            status, text = self._send(method, path, body)
+        except (OSError, http.client.HTTPException):
+            return OperatorAnswer(0)
+        return OperatorAnswer(status, json.loads(text or 'null'))
+
+    def scrape(self):
+        """Return the metrics of the daemon as text.
+
+        :raises OSError: when the daemon cannot be reached.
+        """
+        _, text = self._send('GET', '/metrics', None)
+        return text.decode()
+
+    def _send(self, method, path, body):
         connection = http.client.HTTPConnection(
             self._endpoint, timeout=TIMEOUT_S
         )
@@ -47,10 +62,7 @@
         try:
             connection.request(method, path, content, headers)
             response = connection.getresponse()
-            text = response.read()
-            return OperatorAnswer(response.status, json.loads(text or 'null'))
-        except (OSError, http.client.HTTPException):
-            return OperatorAnswer(0)
+            return response.status, response.read()
         finally:
             connection.close()
 
--- a/bench/src/cactusloft_bench/demo.py
+++ b/bench/src/cactusloft_bench/demo.py
@@ -153,7 +153,7 @@
     started = time.monotonic()
     document = fleet.render_document([HAULAGE, DREDGING], ROUTES)
     _show(f'Starting {len(HOSTS)} hosts in 3 data centres.')
-    with fleet.Fleet(HOSTS, document, is_replicated=True) as running:
+    with fleet.Fleet(HOSTS, document) as running:
         running.wait_until_whole(_build_request(HAULAGE), ENTRIES)
         elapsed_s = time.monotonic() - started
         _show(f'Document applied, fleet serves after {elapsed_s:.1f} s.')
--- a/bench/tests/test_fleet.py
+++ b/bench/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Tests of real daemons and stand-in servers, started by the launcher."""
 
 import asyncio
+import re
 
 import pytest
 
@@ -73,6 +74,16 @@
     assert (attempt.status, attempt.not_run) == (401, 'true')
 
 
+def test_daemon_serves_its_metrics(running):
+    """An operator who cannot scrape a daemon is blind during overload."""
+    running.wait_until_whole(build_request())
+    scrape = running.get_operator('b1').scrape()
+    assert re.search(r'calls_total\{.*"booking".*"2xx"\} [1-9]', scrape)
+    assert re.search(r'deliveries_total\{.*"success"\} [1-9]', scrape)
+    assert re.search(r'backend_server_lease\{.*\} 1\.0', scrape)
+    assert re.search(r'document_version\{.*\} 1\.0', scrape)
+
+
 def test_restarted_server_serves_again(running):
     """A restart must neither keep the drain nor the former address."""
     running.get_stand_in('b1').stop()
--- a/daemon/src/cactusloftd/_admin.py
+++ b/daemon/src/cactusloftd/_admin.py
@@ -19,6 +19,7 @@
 from cactusloftd import _calls
 from cactusloftd import _http
 from cactusloftd import _messages
+from cactusloftd import _metrics
 from cactusloftd import _problems
 
 _E = errors.ErrorKind
@@ -86,10 +87,19 @@
     :param members: :class:`_members.Members`.
     :param owner: :class:`_owner.Owner`.
     :param log: :class:`events.EventLog`.
+    :param metrics: :class:`_metrics.Metrics`.
     """
 
     def __init__(
-        self, settings, installed, operators, control, members, owner, log
+        self,
+        settings,
+        installed,
+        operators,
+        control,
+        members,
+        owner,
+        log,
+        metrics,
     ):
         self._settings = settings
         self._installed = installed
@@ -98,7 +108,9 @@
         self._members = members
         self._owner = owner
         self._log = log
+        self._metrics = metrics
         self._actions = {
+            ('GET', '/metrics'): self._show_metrics,
             ('GET', '/v1/document'): self._show,
             ('POST', '/v1/document'): self._apply,
             ('GET', '/v1/history'): self._show_history,
@@ -208,6 +220,13 @@
             return _refuse(_E.BAD_REQUEST, 'wall_ms and counter are numbers')
         return _answer(self._log.list_records(since))
 
+    async def _show_metrics(self, _request):
+        """Serve the scrape of Prometheus."""
+        return web.Response(
+            body=self._metrics.render(),
+            headers={'Content-Type': _metrics.CONTENT_TYPE},
+        )
+
     async def _drain(self, _request):
         self._owner.drain()
         return web.Response(status=204)
--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -54,10 +54,11 @@
             settings, node, self._control, now
         )
 
-    def make_admin(self, owner):
+    def make_admin(self, owner, metrics):
         """Return the operator listener.
 
         :param owner: :class:`_owner.Owner`.
+        :param metrics: :class:`_metrics.Metrics`.
         """
         return _admin.Admin(
             self._settings,
@@ -67,6 +68,7 @@
             self._members,
             owner,
             self._log,
+            metrics,
         )
 
     @property
--- a/daemon/src/cactusloftd/_metrics.py
+++ b/daemon/src/cactusloftd/_metrics.py
@@ -17,6 +17,7 @@
 
 from cactusloft_model import events
 
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_PLAIN_0_0_4
 # Seconds; fine around the target of 1.9 ms and wide enough for deadlines.
 DURATION_BOUNDS_S = (
     0.001,
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -85,7 +85,7 @@
         self._owner = _owner.Owner(
             config, self._guards, self._log, self._metrics, now
         )
-        self._admin = self._plane.make_admin(self._owner)
+        self._admin = self._plane.make_admin(self._owner, self._metrics)
         self._is_changed = asyncio.Event()
         self._owner.on_change = self._is_changed.set
         self._entry = _entry.Entry(
@@ -156,12 +156,21 @@
         observe('cactusloft_queued_calls', self._read_queued)
         observe('cactusloft_concurrency_limit_calls', self._read_limit)
         observe('cactusloft_open_exchanges', lambda: exchanges.count)
+        installed = self._plane.installed
+        observe('cactusloft_document_version', self._read_version)
+        observe(
+            'cactusloft_confirmation_age_seconds',
+            lambda: installed.age_s if installed.confirmed_at else None,
+        )
         observe(
             'cactusloft_backend_server_lease',
             lambda: int(owner.announcement is not None),
         )
         self._metrics.observe('cactusloft_members', self._count_members)
 
+    def _read_version(self):
+        return self._plane.installed.version.number
+
     def _read_queued(self):
         admission = self._owner.admission
         return admission.queued if admission else None
