Count the confirmation age to the receipt of a watch

The age is now counted to the receipt of the watch, which is still never before its sending, and a leader tells its followers of a commit at once.

A test of the fleet once failed with 409: the status showed a promotion before its commit, and the next addition was refused. The status now shows committed members, and a change during another one is repeated like one without a leader.

--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -135,7 +135,7 @@
                 is_leader=member == leader,
                 match=matches.get(member.replica_id),
             )
-            for member in self.replica.members
+            for member in self.replica.membership.members
         ]
 
     def find_leader_address(self):
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -246,7 +246,8 @@
     """State of a control host.
 
     :ivar version: version of the document in force there.
-    :ivar age_s: seconds since its confirmation, or None without one.
+    :ivar age_s: seconds from its confirmation to the receipt of the watch,
+        negative for a later confirmation, or None without one.
     :ivar relays: control hosts between this state and a control replica.
     :ivar group: the control group, or None if the asker knows it.
     :ivar base_version: version that ``changes`` apply to, 0 for none.
--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -48,13 +48,14 @@
 
     async def answer(self, watch, _age_s):
         """Answer at once if anything changed, else after the hold time."""
-        limit = self._now() + min(watch.hold_ms / 1000, MAX_HOLD_S)
+        received_at = self._now()
+        limit = received_at + min(watch.hold_ms / 1000, MAX_HOLD_S)
         while True:
             tables = self._exchange(watch)
             has_changed = self._has_changed(watch)
             remaining = limit - self._now()
             if tables or has_changed or remaining <= 0:
-                return self._make_answer(watch, tables)
+                return self._make_answer(watch, tables, received_at)
             await self._wait(remaining)
 
     def _has_changed(self, watch):
@@ -83,7 +84,7 @@
         )
         return tuple(table for table in answers if table is not None)
 
-    def _make_answer(self, watch, tables):
+    def _make_answer(self, watch, tables, received_at):
         self._watcher.take_local()
         installed = self._installed
         base_version, changes = 0, None
@@ -94,7 +95,9 @@
             group = None
         age_s = None
         if installed.confirmed_at is not None:
-            age_s = installed.age_s
+            # Relative to the receipt, so that the hold time does not count:
+            # the asker sent the watch before it was received here.
+            age_s = received_at - installed.confirmed_at
         return _messages.WatchAnswer(
             version=installed.version.number,
             change_id=installed.version.change_id,
--- a/libs/consensus/src/cactusloft_consensus/_leading.py
+++ b/libs/consensus/src/cactusloft_consensus/_leading.py
@@ -155,6 +155,7 @@
         if index <= self.commit or self.log.find_term(index) != self.term:
             return
         self.commit = index
+        # Followers would otherwise learn of it with the next heartbeat.
+        self._broadcast()
         if self.log.members_index <= index and not self._is_voter():
-            self._broadcast()
             self._become_follower(self.term, '', self._now)
--- a/libs/consensus/src/cactusloft_consensus/_node.py
+++ b/libs/consensus/src/cactusloft_consensus/_node.py
@@ -196,7 +196,8 @@
         if not self.is_ready:
             return _refuse_unavailable()
         if self.log.members_index > self.commit:
-            return _refuse('another membership change is in progress')
+            # Worth another attempt: the earlier change ends by itself.
+            return _refuse_unavailable('a membership change is in progress')
         changed = set(members) ^ set(self.log.members)
         if len({member.replica_id for member in changed}) != 1:
             return _refuse('exactly one replica may change at a time')
@@ -291,9 +292,7 @@
     return result.Failure(errors.CallError(kind, detail))
 
 
-def _refuse_unavailable():
+def _refuse_unavailable(detail='this replica is not the leader'):
     kind = errors.ErrorKind.CONTROL_UNAVAILABLE
     # Nothing was appended, so the change certainly has no effect.
-    return result.Failure(
-        errors.CallError(kind, 'this replica is not the leader')
-    )
+    return result.Failure(errors.CallError(kind, detail))
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -186,7 +186,8 @@
 
     async def add_member(self, replica_id, address, timeout_s):
         """Add a learner; the leader promotes it once it has caught up."""
-        if self.find_member(replica_id) is not None:
+        committed = (m.replica_id for m in self.membership.members)
+        if replica_id in committed:
             return result.Success(None)
         member = _messages.Member(replica_id, address, False)
         return await self._change_members(self.members + (member,), timeout_s)
--- a/libs/consensus/tests/test_group.py
+++ b/libs/consensus/tests/test_group.py
@@ -31,7 +31,8 @@
         group.kill(address)
     for address in group.hosts:
         group.restart(address)
-    group.run_until(lambda: _has_all(group, 300))
+    group.run_until(lambda: _is_settled(group))
+    assert _has_all(group, 300)
     assert group.find_leader().store.text == 'text 299'
     assert group.apply(300, 'after').version == 301
 
--- a/libs/consensus/tests/test_replica.py
+++ b/libs/consensus/tests/test_replica.py
@@ -115,3 +115,24 @@
 def test_group_commit_off_the_event_loop(tmp_path):
     """A slow disk must cost one sync for many changes, not the leadership."""
     asyncio.run(_run_slow_disk(tmp_path))
+
+
+async def _run_two_additions(tmp_path):
+    hub, failures = _Hub(), []
+    first, _ = hub.start(tmp_path / 'a', 1, failures)
+    first.bootstrap('a').unwrap()
+    await _wait_until(lambda: first.is_leader)
+    # The learner does not exist, so it is never promoted; adding it twice is
+    # one change, which is reported only once it is committed.
+    (await first.add_member('absent', 'b', 10)).unwrap()
+    (await first.add_member('absent', 'b', 10)).unwrap()
+    assert [m.is_voter for m in first.membership.members] == [True, False]
+    assert (await first.remove_member('unknown', 10)).failure()
+    (await first.remove_member('absent', 10)).unwrap()
+    assert len(first.membership.members) == 1
+    await first.close()
+
+
+def test_repeated_addition_is_one_change(tmp_path):
+    """An operator repeats a request whose answer was lost."""
+    asyncio.run(_run_two_additions(tmp_path))
