--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -188,7 +188,7 @@
             )
         )
     return _messages.ControlGroup(
-        membership.index, replica.leader_id, tuple(members)
+        membership.version, replica.leader_id, tuple(members)
     )
 
 
--- a/libs/consensus/src/cactusloft_consensus/_log.py
+++ b/libs/consensus/src/cactusloft_consensus/_log.py
@@ -10,12 +10,13 @@
 
 @attrs.frozen
 class Membership:
-    """Members of the group from one index on.
+    """Members of the group after a number of changes.
 
-    :ivar index: index of the entry that set them; the same on all replicas.
+    :ivar version: number of changes since the bootstrap. It is the same on
+        all replicas, whenever they take snapshots.
     """
 
-    index: int
+    version: int
     members: tuple[_messages.Member, ...]
 
 
@@ -107,18 +108,16 @@
 
     def find_membership(self, index):
         """Return the :class:`Membership` in force at ``index``."""
-        if self.members_index <= index:
-            return Membership(self.members_index, self.members)
-        snapshot = self.snapshot
-        found = Membership(snapshot.members_index, snapshot.members)
+        found = Membership(self.snapshot.version, self.snapshot.members)
         for entry in self.list_entries(self.snapshot.index + 1, index):
             if entry.kind == _messages.EntryKind.MEMBERS:
-                found = Membership(entry.index, decode_members(entry.data))
+                members = decode_members(entry.data)
+                found = Membership(found.version + 1, members)
         return found
 
     def _find_members(self):
         self.members = self.snapshot.members
-        self.members_index = self.snapshot.members_index
+        self.members_index = self.snapshot.index
         for entry in reversed(self._entries):
             if entry.kind == _messages.EntryKind.MEMBERS:
                 self.members = decode_members(entry.data)
