--- a/bench/src/cactusloft_bench/_policy_chain.py
+++ b/bench/src/cactusloft_bench/_policy_chain.py
@@ -80,6 +80,10 @@
         finally:
             self._running -= 1
 
+    def draws_failure(self):
+        """Tell whether a call ends in an error."""
+        return self._source.random() < self._scenario.failing
+
     def _draw_time(self):
         factor = 1.0
         if self._name == 'deep' and self._scenario.is_slow(self._now()):
@@ -107,8 +111,11 @@
         await self._servers[CHAIN[level]].work()
         if level + 1 == len(CHAIN):
             self.counts.executions += 1
-            return True
-        return await self._serve(level + 1)
+            return not self._servers[CHAIN[level]].draws_failure()
+        for _ in range(NESTED_REPEATS + 1):
+            if await self._serve(level + 1):
+                return True
+        return False
 
 
 class StaticOwner:
@@ -252,7 +259,7 @@
         await self._servers[name].work()
         if level + 1 == len(CHAIN):
             self.counts.executions += 1
-            return True
+            return not self._servers[CHAIN[level]].draws_failure()
         self._used[name].note_nested(KIND, CHAIN[level + 1], KIND)
         for repeat in range(NESTED_REPEATS + 1):
             if repeat and not self._may_repeat(level + 1, call):
--- a/bench/src/cactusloft_bench/_policy_measures.py
+++ b/bench/src/cactusloft_bench/_policy_measures.py
@@ -82,9 +82,9 @@
 
 
 def measure_work(record, _scenario):
-    """Return executions at the deep service for each complete request."""
-    done = sum(1 for r in record.requests if r.done_at is not None)
-    return record.executions / max(1, done)
+    """Return executions at the deep service for each attempt of a client."""
+    attempts = sum(request.attempts for request in record.requests)
+    return record.executions / attempts
 
 
 def measure_wasted(record, _scenario):
--- a/bench/src/cactusloft_bench/_policy_scenarios.py
+++ b/bench/src/cactusloft_bench/_policy_scenarios.py
@@ -24,6 +24,8 @@
     :ivar slow_factor: factor on the deep service's time while it is slow.
     :ivar overstatement: announced slots of the deep service for each that
         it really has.
+    :ivar failing: share of the deep service's calls that end in an error
+        after all their work.
     :ivar rates: relative request rate of each client account.
     :ivar classes: share of each class in the requests.
     """
@@ -34,6 +36,7 @@
     surge: float | None = None
     slow_factor: float = 1.0
     overstatement: int = 1
+    failing: float = 0.0
     rates: dict[str, float] = attrs.Factory(lambda: dict(_EQUAL))
     classes: dict[calls.Priority, float] = attrs.Factory(lambda: dict(_MIXED))
 
@@ -58,4 +61,5 @@
     classes={_P.NORMAL: 1.0},
 )
 OVERSTATED = Scenario('overstated slots', 2.0, overstatement=3)
-SCENARIOS = (LIGHT, DOUBLE, FIVEFOLD, SLOW, HOG, OVERSTATED)
+FAILING = Scenario('failing deep', 0.1, failing=0.8)
+SCENARIOS = (LIGHT, DOUBLE, FIVEFOLD, SLOW, HOG, OVERSTATED, FAILING)
--- a/bench/src/cactusloft_bench/policy.py
+++ b/bench/src/cactusloft_bench/policy.py
@@ -90,8 +90,8 @@
         measures.measure_wasted,
     ),
     Measure(
-        'deep executions for each complete request, slow deep',
-        scenarios.SLOW,
+        'deep executions for each attempt, 80% of them failing',
+        scenarios.FAILING,
         measures.measure_work,
     ),
 )
