--- /dev/null
+++ b/daemon/src/cactusloftd/_installed.py
@@ -0,0 +1,128 @@
+"""The document that this daemon has installed, and its confirmation.
+
+A version is installed only when it is higher than the installed one and its
+confirmation is later than the start of the daemon. The second rule keeps a
+restarted daemon from going back behind a version that it had before.
+"""
+
+import collections
+
+import attrs
+from returns import pipeline
+
+from cactusloft_model import document
+from cactusloft_model import events
+
+# Revocation of a key takes effect within this time everywhere, because a
+# daemon without a younger confirmation refuses keyed routes.
+FRESHNESS_BOUND_S = 5.0
+# Watches that are at most this many versions behind get differences.
+KEPT_VERSIONS = 8
+_V = events.Event
+
+
+@attrs.frozen
+class Version:
+    """A version of the document.
+
+    :ivar change_id: the change that made it, empty for version 0.
+    """
+
+    number: int
+    change_id: str
+
+
+@attrs.frozen
+class Kept:
+    """A recent version with its document."""
+
+    version: Version
+    document: document.Document
+
+
+NO_VERSION = Version(0, '')
+
+
+class Installed:
+    """Document in force on this daemon; implements ``_config.Config``.
+
+    :param log: :class:`events.EventLog`.
+    :param now: function that returns monotonic seconds.
+    """
+
+    def __init__(self, log, now):
+        self.current = document.EMPTY_DOCUMENT
+        self.version = NO_VERSION
+        self.confirmed_at = None
+        self._log = log
+        self._now = now
+        self._started_at = now()
+        self._kept = collections.OrderedDict()
+        self._was_fresh = False
+        self._refused_version = NO_VERSION
+
+    def is_fresh(self):
+        """Tell whether keyed routes may be served."""
+        is_fresh = self.age_s <= FRESHNESS_BOUND_S
+        if is_fresh != self._was_fresh:
+            self._was_fresh = is_fresh
+            event = _V.CONFIRMATION_STALE
+            if is_fresh:
+                event = _V.CONFIRMATION_RENEWED
+            self._log.record(event, version=self.version.number)
+        return is_fresh
+
+    @property
+    def age_s(self):
+        """Return the seconds since the confirmation, infinite without one."""
+        if self.confirmed_at is None:
+            return float('inf')
+        return self._now() - self.confirmed_at
+
+    def find_document(self, version):
+        """Return the document of a recent version, or None.
+
+        :param version: :class:`Version`.
+        """
+        kept = self._kept.get(version.number)
+        if kept is None or kept.version != version:
+            return None
+        return kept.document
+
+    def take(self, version, confirmed_at, make_document):
+        """Install and confirm what a control host or replica reported.
+
+        :param version: :class:`Version` in force there.
+        :param confirmed_at: monotonic seconds of the confirmation, or None.
+        :param make_document: function called when the version is to be
+            installed; returns ``Success(Document)`` or ``Failure(faults)``.
+        :returns: whether a new version was installed.
+        """
+        if confirmed_at is None or confirmed_at <= self._started_at:
+            return False
+        is_new = version.number > self.version.number
+        if is_new and not self._install(version, make_document()):
+            # The confirmation counts only with the change that it covers.
+            return False
+        previous = self.confirmed_at or confirmed_at
+        self.confirmed_at = max(previous, confirmed_at)
+        self.is_fresh()
+        return is_new
+
+    def _install(self, version, made):
+        if not pipeline.is_successful(made):
+            if version != self._refused_version:
+                self._refused_version = version
+                self._log.record(
+                    _V.DOCUMENT_REFUSED,
+                    version=version.number,
+                    fault=str(next(iter(made.failure()), '')),
+                )
+            return False
+        self.current = made.unwrap()
+        self.version = version
+        self._kept[version.number] = Kept(version, self.current)
+        if len(self._kept) > KEPT_VERSIONS:
+            self._kept.popitem(last=False)
+        self._log.record(_V.DOCUMENT_INSTALLED, version=version.number)
+        return True
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -18,6 +18,7 @@
 from cactusloftd import _backend
 from cactusloftd import _callers
 from cactusloftd import _config
+from cactusloftd import _control_plane
 from cactusloftd import _entry
 from cactusloftd import _flow
 from cactusloftd import _guards
@@ -76,12 +77,15 @@
         self._registrations = _members.RegistrationServer(
             registry.Registry(), now
         )
-        text = pathlib.Path(settings.document_file).read_text()
-        config = _config.FileConfig(text)
+        self._plane = _control_plane.ControlPlane(
+            settings, self._node, self._log, now, self._members
+        )
+        config = _choose_config(settings, self._plane)
         self._guards = self._make_guards(config, now)
         self._owner = _owner.Owner(
             config, self._guards, self._log, self._metrics, now
         )
+        self._admin = self._plane.make_admin(self._owner)
         self._is_changed = asyncio.Event()
         self._owner.on_change = self._is_changed.set
         self._entry = _entry.Entry(
@@ -132,6 +136,7 @@
             _messages.Lookup, self._registrations.look_up
         )
         self._guards.handle_messages(self._node)
+        self._plane.start()
         self._node.listen(listeners.peers)
         callers = _callers.Callers(
             self._entry, self._exchanges, self._log, self._metrics
@@ -141,6 +146,7 @@
         )
         await self._listen(listeners.callers, callers.handle)
         await self._listen(listeners.backend, backend.handle)
+        await self._listen(listeners.admin, self._admin.handle)
 
     def _observe(self):
         """Name the sources of the gauges."""
@@ -204,6 +210,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._owner.close()
+        await self._plane.close()
         self._metrics.close()
         self._node.close()
 
@@ -229,3 +236,11 @@
         self._log.record(
             _LINK_EVENTS.get(name, _V.REQUEST_MALFORMED), **fields
         )
+
+
+def _choose_config(settings, plane):
+    """Return the source of the document: a fixed file, or the replicas."""
+    if not settings.document_file:
+        return plane.installed
+    text = pathlib.Path(settings.document_file).read_text()
+    return _config.FileConfig(text)
--- a/libs/consensus/src/cactusloft_consensus/_documents.py
+++ b/libs/consensus/src/cactusloft_consensus/_documents.py
@@ -112,6 +112,11 @@
         """Return the document in force, empty before the first version."""
         return self.find_text(self.version) or ''
 
+    @property
+    def change_id(self):
+        """Return the change that made the version in force, or empty."""
+        return self._revisions[-1].change_id if self._revisions else ''
+
     def find_text(self, version):
         """Return the text of a recent version, or None if it is not kept."""
         packed = self._texts.get(version)
