Deliver the target of a call byte for byte

The client library parsed and quoted the target again, which changes unusual paths and costs time for each call.

--- a/daemon/src/cactusloftd/_delivery.py
+++ b/daemon/src/cactusloftd/_delivery.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 from returns import result
+import yarl
 
 from cactusloft_model import errors
 from cactusloftd import _calls
@@ -87,7 +88,9 @@
         ]
         return await self._session.request(
             call.method,
-            self._url + call.target,
+            # The target reaches the backend server byte for byte; parsing
+            # and quoting it again would change it, and costs time.
+            yarl.URL(self._url + call.target, encoded=True),
             headers=headers,
             data=call.body or None,
             allow_redirects=False,
