Install new texts on replicas without stopping the event loop

Cause: the first document of 12,000 sections stopped all followers for about 2 s at once, and the leader stepped down for want of a majority. Replicas parse new texts in a thread now, and only control hosts keep recent versions, as sections instead of whole documents.

--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -27,7 +27,10 @@
     """
 
     def __init__(self, settings, node, log, now, members):
-        self.installed = _installed.Installed(log, now)
+        is_control_host = settings.name in (
+            host.name for host in settings.control_hosts
+        )
+        self.installed = _installed.Installed(log, now, is_control_host)
         self._settings = settings
         self._node = node
         self._log = log
--- a/daemon/src/cactusloftd/_installed.py
+++ b/daemon/src/cactusloftd/_installed.py
@@ -34,10 +34,10 @@
 
 @attrs.frozen
 class Kept:
-    """A recent version with its document."""
+    """A recent version with the sections of its document."""
 
     version: Version
-    document: document.Document
+    sections: dict[str, document.Section]
 
 
 NO_VERSION = Version(0, '')
@@ -48,9 +48,10 @@
 
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
+    :param keeps_versions: whether to keep recent versions, on control hosts.
     """
 
-    def __init__(self, log, now):
+    def __init__(self, log, now, keeps_versions):
         self.current = document.EMPTY_DOCUMENT
         self.version = NO_VERSION
         self.confirmed_at = None
@@ -58,6 +59,7 @@
         self._now = now
         self._started_at = now()
         self._kept = collections.OrderedDict()
+        self._kept_count = KEPT_VERSIONS if keeps_versions else 0
         self._was_fresh = False
         self._refused_version = NO_VERSION
 
@@ -79,15 +81,15 @@
             return float('inf')
         return self._now() - self.confirmed_at
 
-    def find_document(self, version):
-        """Return the document of a recent version, or None.
+    def find_sections(self, version):
+        """Return the sections of a recent version, or None.
 
         :param version: :class:`Version`.
         """
         kept = self._kept.get(version.number)
         if kept is None or kept.version != version:
             return None
-        return kept.document
+        return kept.sections
 
     def take(self, version, confirmed_at, make_document):
         """Install and confirm what a control host or replica reported.
@@ -121,8 +123,8 @@
             return False
         self.current = made.unwrap()
         self.version = version
-        self._kept[version.number] = Kept(version, self.current)
-        if len(self._kept) > KEPT_VERSIONS:
+        self._kept[version.number] = Kept(version, self.current.sections)
+        if len(self._kept) > self._kept_count:
             self._kept.popitem(last=False)
         self._log.record(_V.DOCUMENT_INSTALLED, version=version.number)
         return True
--- a/daemon/src/cactusloftd/_texts.py
+++ b/daemon/src/cactusloftd/_texts.py
@@ -22,15 +22,21 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._text = ''
+        self._parsed = result.Success(document.EMPTY_DOCUMENT)
         self._document = document.EMPTY_DOCUMENT
         self._pieces = {}
 
+    def has(self, text):
+        """Tell whether ``text`` was parsed last, so that parsing is free."""
+        return text == self._text
+
     def parse(self, text):
         """Return the same as ``document.parse_document``."""
         with self._lock:
-            if text == self._text:
-                return result.Success(self._document)
-            return self._parse(text)
+            if text != self._text:
+                self._parsed = self._parse(text)
+                self._text = text
+            return self._parsed
 
     def _parse(self, text):
         pieces = self._read_pieces(text)
@@ -41,7 +47,7 @@
         changes = document.list_changes(self._document.sections, sections)
         parsed = document.patch_document(self._document, changes)
         if pipeline.is_successful(parsed):
-            self._text, self._pieces = text, pieces
+            self._pieces = pieces
             self._document = parsed.unwrap()
         return parsed
 
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -58,6 +58,7 @@
         self._now = now
         self._replica = replica
         self._parser = parser
+        self._parsing = None
         self._on_change = on_change
         self._tables = {}
         self._known = {}
@@ -97,11 +98,31 @@
         if known_at is None or confirmed_at >= known_at:
             self.relays = 0
             self._take_replica_group(replica)
-        self._take(
-            version, confirmed_at, lambda: self._parser.parse(store.text)
-        )
+        is_new = version.number > self._installed.version.number
+        if is_new and not self._parser.has(store.text):
+            self._start_parsing(store.text)
+        else:
+            self._take(
+                version, confirmed_at, lambda: self._parser.parse(store.text)
+            )
         return self._now() - confirmed_at < LOCAL_AGE_S
 
+    def _start_parsing(self, text):
+        """Parse in a thread and look at the replica again.
+
+        A text with many new sections takes longer than a replica may be
+        silent; all followers would miss the leader's heartbeats at once.
+        """
+        if self._parsing is None:
+            self._parsing = asyncio.create_task(self._parse(text))
+
+    async def _parse(self, text):
+        try:
+            await asyncio.to_thread(self._parser.parse, text)
+        finally:
+            self._parsing = None
+        self.take_local()
+
     def _move(self):
         """Try the next control host, which knows none of our versions."""
         self._known.clear()
--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -118,14 +118,14 @@
             self._cached_version = version
             self._cached_changes.clear()
         known = _installed.Version(watch.version, watch.change_id)
-        base = self._installed.find_document(known)
+        base = self._installed.find_sections(known)
         if base is None:
-            base, known = document.EMPTY_DOCUMENT, _installed.NO_VERSION
+            base, known = {}, _installed.NO_VERSION
         # Hundreds of daemons ask for the same difference.
         changes = self._cached_changes.get(known)
         if changes is None:
             changes = document.list_changes(
-                base.sections, self._installed.current.sections
+                base, self._installed.current.sections
             )
             self._cached_changes[known] = changes
         return known.number, changes
--- a/daemon/tests/test_installed.py
+++ b/daemon/tests/test_installed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import threading
 
 import pytest
 import structlog
@@ -62,7 +63,7 @@
 
 @pytest.fixture
 def installed(time_source, log):
-    return _installed.Installed(log, time_source.read)
+    return _installed.Installed(log, time_source.read, True)
 
 
 def _take(installed, number, confirmed_at, text=TEXT):
@@ -120,8 +121,10 @@
 
     def __init__(self):
         self.store = documents.DocumentStore()
+        self.parser = _texts.TextParser()
 
     def change(self, text, change_id):
+        self.parser.parse(text)
         version = self.store.version
         change = documents.Change.pack(version, change_id, 0, text)
         self.store.apply(change.encode())
@@ -157,10 +160,11 @@
         time_source.read,
         random.Random(1),
         replica,
-        _texts.TextParser(),
-        lambda: None,
+        replica.parser,
+        lambda: made.notify(),
     )
-    return _watch_server.WatchServer(installed, watcher, time_source.read)
+    made = _watch_server.WatchServer(installed, watcher, time_source.read)
+    return made
 
 
 def _watch_once(server, version, change_id):
@@ -205,6 +209,33 @@
     return await asyncio.wait_for(waiting, 30)
 
 
+async def _install_in_thread(server, replica, parsed):
+    watch = _messages.Watch('d1', 0, '', 5, 'r1', 2000, ())
+    waiting = asyncio.create_task(server.answer(watch, 0.0))
+    await asyncio.sleep(0)
+    server._watcher.take_local()
+    assert not parsed, 'parsed on the event loop'
+    answer = await asyncio.wait_for(waiting, 30)
+    assert (answer.version, len(parsed)) == (1, 1)
+
+
+def test_new_text_is_parsed_off_the_event_loop(server, replica, time_source):
+    """A long parse would stop the heartbeats and cost the leader."""
+    parse, parsed = replica.parser.parse, []
+    replica.change(TEXT, 'first')
+    replica.parser.parse(OTHER_TEXT)
+    replica.confirmed_at = time_source.now = 101.0
+
+    def parse_in_thread(text):
+        if not replica.parser.has(text):
+            assert threading.current_thread() is not threading.main_thread()
+            parsed.append(text)
+        return parse(text)
+
+    replica.parser.parse = parse_in_thread
+    asyncio.run(_install_in_thread(server, replica, parsed))
+
+
 def test_table_is_relayed_at_once(server):
     """Crash marks must not wait for the end of a poll."""
     owner = _Owner()
