--- a/daemon/src/cactusloftd/_admin.py
+++ b/daemon/src/cactusloftd/_admin.py
@@ -20,6 +20,7 @@
 from cactusloftd import _calls
 from cactusloftd import _http
 from cactusloftd import _messages
+from cactusloftd import _metrics
 from cactusloftd import _problems
 
 _E = errors.ErrorKind
@@ -88,6 +89,7 @@
     :param members: :class:`_members.Members`.
     :param owner: :class:`_owner.Owner`.
     :param log: :class:`events.EventLog`.
+    :param metrics: :class:`_metrics.Metrics`.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         members,
         owner,
         log,
+        metrics,
     ):
         self._settings = settings
         self._installed = installed
@@ -109,7 +112,9 @@
         self._members = members
         self._owner = owner
         self._log = log
+        self._metrics = metrics
         self._actions = {
+            ('GET', '/metrics'): self._show_metrics,
             ('GET', '/v1/document'): self._show,
             ('POST', '/v1/document'): self._apply,
             ('GET', '/v1/history'): self._show_history,
@@ -219,6 +224,13 @@
             return _refuse(_E.BAD_REQUEST, 'wall_ms and counter are numbers')
         return _answer(self._log.list_records(since))
 
+    async def _show_metrics(self, _request):
+        """Serve the scrape of Prometheus."""
+        return web.Response(
+            body=self._metrics.render(),
+            headers={'Content-Type': _metrics.CONTENT_TYPE},
+        )
+
     async def _drain(self, _request):
         self._owner.drain()
         return web.Response(status=204)
--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -60,10 +60,11 @@
             settings, node, self._control, now
         )
 
-    def make_admin(self, owner):
+    def make_admin(self, owner, metrics):
         """Return the operator listener.
 
         :param owner: :class:`_owner.Owner`.
+        :param metrics: :class:`_metrics.Metrics`.
         """
         return _admin.Admin(
             self._settings,
@@ -74,6 +75,7 @@
             self._members,
             owner,
             self._log,
+            metrics,
         )
 
     @property
