--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -25,6 +25,8 @@
     :ivar target: path with query.
     :ivar headers: end-to-end headers, without any key.
     :ivar route: name of the route in the document of the entry.
+    :ivar idempotency_key: key of a root call that runs at most once, else
+        empty.
     """
 
     context: calls.CallContext
@@ -33,6 +35,7 @@
     headers: Headers
     body: bytes
     route: str = ''
+    idempotency_key: str = ''
 
     @property
     def path(self):
@@ -52,6 +55,7 @@
     :ivar chunks: the body; raises :class:`ResponseCut` when it breaks off.
     :ivar close: coroutine function that gives the exchange up or ends it;
         must be called once.
+    :ivar is_replayed: whether it is the stored response of an earlier call.
     """
 
     status: int
@@ -59,6 +63,7 @@
     length: int | None
     chunks: Chunks
     close: abc.Callable[[], abc.Awaitable[None]]
+    is_replayed: bool = False
 
 
 Outcome = result.Result[Response, errors.CallError]
--- a/daemon/src/cactusloftd/_http.py
+++ b/daemon/src/cactusloftd/_http.py
@@ -83,6 +83,8 @@
     for name, value in _headers.select_for_caller(response.headers):
         out.headers.add(name, value)
     out.headers[_headers.CALL_ID] = call_id
+    if response.is_replayed:
+        out.headers[_headers.REPLAYED] = 'true'
     for name, value in extra:
         out.headers[name] = value
     if response.length is not None:
--- /dev/null
+++ b/daemon/src/cactusloftd/_rates.py
@@ -0,0 +1,269 @@
+"""Rate leases in the daemon: holders at entries, allocators at the leader."""
+
+import asyncio
+import collections
+import itertools
+
+import attrs
+from returns import result
+
+from cactusloft_model import errors
+from cactusloft_model import events
+import cactusloft_quota as quota
+from cactusloftd import _calls
+from cactusloftd import _messages
+
+# Calls wait this long for a token before they are refused.
+WAIT_S = 0.25
+WAITING_POLL_S = 0.01
+REQUEST_TIMEOUT_S = 0.25
+CONNECT_WAIT_S = 0.3
+FAILURE_PAUSE_S = 0.05
+LEADER_POLL_S = 0.1
+_E = errors.ErrorKind
+
+
+@attrs.frozen
+class Token:
+    """A debited token of an account."""
+
+    account: object
+    debit: quota.Debit
+
+
+class Rates:
+    """Debit the rate leases of client accounts.
+
+    :param name: name of this daemon.
+    :param boot: identity of this process.
+    :param view: :class:`_group.GroupView`.
+    :param node: :class:`link.Node`.
+    :param allocators: :class:`Allocators` of this daemon.
+    :param now: function that returns monotonic seconds.
+    """
+
+    def __init__(self, name, boot, view, node, allocators, now):
+        self._name = name
+        self._boot = boot
+        self._view = view
+        self._node = node
+        self._allocators = allocators
+        self._now = now
+        self._accounts = {}
+        self._numbers = itertools.count()
+        self._hint = ''
+
+    async def admit(self, context):
+        """Debit the account of a root call.
+
+        :param context: :class:`calls.CallContext`.
+        :returns: ``Success(Token)``, ``Success(None)`` without an account, or
+            ``Failure(CallError)``.
+        """
+        name = context.client_account
+        if not name:
+            return result.Success(None)
+        account = self._accounts.get(name)
+        if account is None:
+            account = self._accounts[name] = self._make_account(name)
+        return await account.admit(context.deadline)
+
+    def give_back(self, token):
+        """Return the token of a call that is certainly not run."""
+        if token is not None:
+            token.account.give_back(token.debit)
+
+    def close(self):
+        """Stop renewing all leases."""
+        for account in self._accounts.values():
+            account.task.cancel()
+
+    def _make_account(self, name):
+        # A holder that starts again counts its requests anew.
+        boot = f'{self._boot}.{next(self._numbers)}'
+        holder = quota.Holder(self._name, boot, name, self._now())
+        account = _Account(holder, self._ask, self._now)
+        account.task = asyncio.create_task(account.run())
+        account.task.add_done_callback(lambda _: self._forget(name, account))
+        return account
+
+    def _forget(self, name, account):
+        if self._accounts.get(name) is account:
+            del self._accounts[name]
+
+    async def _ask(self, request):
+        """Return the reply of the allocator, None when there is none."""
+        group = self._view.read()
+        leader = group.find_voter(self._hint) or group.find_voter(group.leader)
+        if leader is None:
+            return None
+        replica = self._view.replica
+        if replica is not None and replica.replica_id == leader.replica_id:
+            reply = await self._allocators.answer(request, 0.0)
+        else:
+            peer = self._node.connect(leader.address)
+            if not await peer.wait_until_up(CONNECT_WAIT_S):
+                self._hint = ''
+                return None
+            answer = await peer.request(request, REQUEST_TIMEOUT_S)
+            reply = answer.value_or(_messages.LeaseReply(None, ''))
+        self._hint = reply.leader
+        return reply.grant
+
+
+class _Account:
+    """The holder of one account, its task, and the calls that wait."""
+
+    def __init__(self, holder, ask, now):
+        self._holder = holder
+        self._ask = ask
+        self._now = now
+        self._waiters = collections.deque()
+        self._wake = asyncio.Event()
+        self.task = None
+
+    async def admit(self, deadline):
+        """Take a token, waiting briefly for one."""
+        now = self._now()
+        self._holder.note_arrival(now)
+        if not self._waiters:
+            debit = self._holder.debit(now)
+            if debit is not None:
+                self._wake_if_due(now)
+                return result.Success(Token(self, debit))
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        self._wake.set()
+        try:
+            wait_s = min(WAIT_S, deadline - now)
+            debit = await asyncio.wait_for(asyncio.shield(waiter), wait_s)
+            return result.Success(Token(self, debit))
+        except TimeoutError:
+            return self._refuse()
+        except asyncio.CancelledError:
+            if waiter.done():
+                self.give_back(waiter.result())
+            raise
+        finally:
+            if not waiter.done():
+                self._waiters.remove(waiter)
+
+    def give_back(self, debit):
+        """Return a token."""
+        self._holder.credit(debit, self._now())
+
+    async def run(self):
+        """Renew the lease until nobody calls any more."""
+        while True:
+            now = self._now()
+            self._serve_waiters(now)
+            due = self._holder.find_due(len(self._waiters))
+            if now < due:
+                await self._sleep(due - now)
+            elif self._holder.is_idle(now):
+                return
+            else:
+                await self._renew(now)
+
+    def _refuse(self):
+        if self._holder.is_leased(self._now()):
+            return _calls.fail(_E.RATE_EXCEEDED)
+        return _calls.fail(_E.RATE_UNAVAILABLE)
+
+    def _wake_if_due(self, now):
+        if self._holder.find_due(len(self._waiters)) <= now:
+            self._wake.set()
+
+    def _serve_waiters(self, now):
+        while self._waiters:
+            debit = self._holder.debit(now)
+            if debit is None:
+                return
+            self._waiters.popleft().set_result(debit)
+
+    async def _sleep(self, timeout_s):
+        if self._waiters:
+            timeout_s = min(timeout_s, WAITING_POLL_S)
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _renew(self, now):
+        request = self._holder.make_request(now, len(self._waiters))
+        grant = await self._ask(request)
+        if grant is None:
+            await asyncio.sleep(FAILURE_PAUSE_S)
+            return
+        self._holder.take_grant(grant, self._now())
+
+
+class Allocators:
+    """Allocators of all accounts, on the control leader.
+
+    :param view: :class:`_group.GroupView`.
+    :param config: :class:`_config.Config`.
+    :param log: :class:`events.EventLog`.
+    :param now: function that returns monotonic seconds.
+    """
+
+    def __init__(self, view, config, log, now):
+        self._view = view
+        self._config = config
+        self._log = log
+        self._now = now
+        self._term = None
+        self._since = 0.0
+        self._allocators = {}
+
+    async def run(self):
+        """Notice the start of a leadership, until cancelled."""
+        while True:
+            self._leads()
+            await asyncio.sleep(LEADER_POLL_S)
+
+    async def answer(self, request, _age_s):
+        """Grant a lease; the handler of ``LeaseRequest``."""
+        group = self._view.read()
+        if not self._leads():
+            return _messages.LeaseReply(None, group.leader)
+        own = self._view.replica.replica_id
+        account = self._config.current.accounts.get(request.client_account)
+        if account is None or not self._config.is_fresh():
+            return _messages.LeaseReply(None, own)
+        allocator = self._find_allocator(account)
+        grant = allocator.handle(request, self._now())
+        return _messages.LeaseReply(grant, own)
+
+    def _find_allocator(self, account):
+        allocator = self._allocators.get(account.name)
+        if allocator is None:
+            name = f'{self._view.replica.replica_id}:{self._term}'
+            allocator = quota.Allocator(
+                name, account.name, account.rate, account.burst, self._since
+            )
+            self._allocators[account.name] = allocator
+        allocator.set_limits(account.rate, account.burst, self._now())
+        return allocator
+
+    def _leads(self):
+        """Tell whether this daemon leads and was confirmed just now.
+
+        Without the confirmation another leader may already have been elected
+        and count on the silence of this one.
+        """
+        replica = self._view.replica
+        if replica is None or not replica.is_leader:
+            self._term = None
+            return False
+        if replica.term != self._term:
+            self._term = replica.term
+            self._since = self._now()
+            self._allocators = {}
+            self._log.record(events.Event.ALLOCATOR_STARTED, term=self._term)
+        confirmed_at = replica.confirmed_at
+        if confirmed_at is None:
+            return False
+        return self._now() - confirmed_at < quota.CONFIRMATION_VALIDITY_S
--- a/libs/quota/src/cactusloft_quota/_holder.py
+++ b/libs/quota/src/cactusloft_quota/_holder.py
@@ -81,9 +81,10 @@
         return self._grant is not None and now < self._expires_at
 
     def is_idle(self, now):
-        """Tell whether nothing is held and nobody called for a while."""
+        """Tell whether no share is held and nobody called for a while."""
         is_quiet = now - self._called_at > IDLE_LIMIT_S
-        return is_quiet and not self.is_leased(now)
+        has_share = self.is_leased(now) and self._grant.burst > 0
+        return is_quiet and not has_share
 
     def note_arrival(self, now):
         """Count a call as demand; call it once for each call."""
