--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -4,6 +4,7 @@
 
 import cactusloft_link as link
 from cactusloft_membership import registry
+from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloftd import _messages
 from cactusloftd import _peers
@@ -14,6 +15,8 @@
 FIRST_USE_WAIT_S = 1.0
 # Bounds the requests for members of a service that has none.
 ASK_INTERVAL_S = 0.2
+# Levels of pressure, from everything to nothing admitted.
+PRESSURE_LEVELS = len(calls.Priority)
 
 
 class RegistrationServer:
@@ -37,8 +40,9 @@
         return _messages.Registrations(tuple(members))
 
     async def look_up(self, message, _age_s):
-        """Return the registration of one daemon."""
-        found = (m for m in self.list_all() if m.name == message.name)
+        """Return the registration of one daemon, or all without a name."""
+        name = message.name
+        found = (m for m in self.list_all() if name in ('', m.name))
         return _messages.Registrations(tuple(found))
 
     def list_all(self):
@@ -103,6 +107,16 @@
                 return answer.members[0]
         return None
 
+    async def list_fleet(self):
+        """Return the registrations of all daemons."""
+        found = {}
+        message = _messages.Lookup('')
+        for peer in self.list_control_links():
+            reply = await peer.request(message, REGISTER_TIMEOUT_S)
+            answer = reply.value_or(_messages.Registrations(()))
+            found.update((m.name, m) for m in answer.members)
+        return list(found.values())
+
     def list_control_links(self):
         """Return the links to the control hosts."""
         return [self._node.connect(h.address) for h in self._control_hosts]
@@ -176,6 +190,10 @@
         is_kept = False
         try:
             outcome = await self._owner.run(call)
+            level = self._owner.read_pressure(call).level
+            self._chooser.report(
+                self._name, level / PRESSURE_LEVELS, self._now()
+            )
             response = outcome.value_or(None)
             if response is not None:
                 self._finish_on_close(response)
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -5,12 +5,11 @@
 
 import attrs
 
-import cactusloft_ledger as ledger
 import cactusloft_link as link
 from cactusloft_membership import registry
 from cactusloft_model import calls
+from cactusloft_model import document
 from cactusloft_model import errors
-import cactusloft_quota as quota
 from cactusloft_retry import marks as retry_marks
 
 
@@ -144,30 +143,177 @@
 
 @attrs.frozen
 class Lookup:
-    """Ask a control host for the registration of one daemon."""
+    """Ask a control host for the registration of one daemon.
+
+    :ivar name: name of the daemon; an empty one asks for all.
+    """
+
+    name: str
+
+
+@attrs.frozen
+class ReplicaMessage:
+    """A message of the replicated log; no answer is awaited.
+
+    :ivar address: where the sender is reached, see ``_control``.
+    :ivar content: encoded envelope of the consensus library.
+    """
+
+    address: str
+    content: bytes
+
+
+@attrs.frozen
+class Taken:
+    """Receipt of a message whose answer, if any, comes separately."""
+
+
+@attrs.frozen
+class TableRequest:
+    """What a daemon says and knows about one relayed table.
+
+    :ivar known: version that it holds from this control host, or 0.
+    :ivar content: opaque report to the owner of the table.
+    """
 
     name: str
+    known: int
+    content: bytes
 
 
 @attrs.frozen
-class LeaseReply:
-    """Reply to ``quota.LeaseRequest``.
+class Table:
+    """Relayed state whose content only its owner reads."""
+
+    name: str
+    version: int
+    content: bytes
 
-    :ivar grant: the lease, or None when this daemon gives none.
-    :ivar leader: replica id of the control leader, empty when not known.
+
+@attrs.frozen
+class ControlMember:
+    """A control replica and where its daemon is reached.
+
+    :ivar peers: endpoint of the peer listener, ``IP:port``.
     """
 
-    grant: quota.Grant | None
+    replica_id: str
+    daemon: str
+    peers: str
+    public_key: str
+    is_voter: bool
+
+
+@attrs.frozen
+class ControlGroup:
+    """The control replicas.
+
+    :ivar epoch: grows with every change of the members.
+    :ivar leader: replica id of the leader, empty while none is known.
+    """
+
+    epoch: int
     leader: str
+    members: tuple[ControlMember, ...]
 
 
-LEDGER_MESSAGES = (
-    ledger.Reserve,
-    ledger.Deny,
-    ledger.Release,
-    ledger.Complete,
-    ledger.Query,
-)
+NO_GROUP = ControlGroup(0, '', ())
+
+
+@attrs.frozen
+class Watch:
+    """A long poll of a daemon at a control host.
+
+    :ivar version: installed version of the document.
+    :ivar change_id: the change that made it; tells versions of a former
+        group of replicas from those of its successor.
+    :ivar epoch: epoch of the control group that the asker knows.
+    :ivar leader: leader of the control group that the asker knows.
+    :ivar hold_ms: longest wait for a change.
+    """
+
+    daemon: str
+    version: int
+    change_id: str
+    epoch: int
+    leader: str
+    hold_ms: int
+    tables: tuple[TableRequest, ...]
+
+
+@attrs.frozen
+class WatchAnswer:
+    """State of a control host.
+
+    :ivar version: version of the document in force there.
+    :ivar age_s: seconds since its confirmation, or None without one.
+    :ivar relays: control hosts between this state and a control replica.
+    :ivar group: the control group, or None if the asker knows it.
+    :ivar base_version: version that ``changes`` apply to, 0 for none.
+    :ivar changes: difference to ``version``, or None when it is not higher
+        than the asker's.
+    """
+
+    version: int
+    change_id: str
+    age_s: float | None
+    relays: int
+    group: ControlGroup | None
+    base_version: int
+    changes: document.Changes | None
+    tables: tuple[Table, ...]
+
+
+@attrs.frozen
+class ApplyRequest:
+    """An operator's change of the document.
+
+    :ivar is_forwarded: whether another control host has passed it on.
+    """
+
+    base_version: int
+    change_id: str
+    text: str
+    is_forwarded: bool
+
+
+@attrs.frozen
+class ShowRequest:
+    """Ask for the document with its comments, as the operator gave it."""
+
+    is_forwarded: bool
+
+
+@attrs.frozen
+class HistoryRequest:
+    """Ask for the history of the document."""
+
+    is_forwarded: bool
+
+
+@attrs.frozen
+class ReplicaChange:
+    """Add or remove a control replica.
+
+    :ivar address: where a new replica is reached, empty to remove.
+    """
+
+    replica_id: str
+    address: str
+    is_forwarded: bool
+
+
+@attrs.frozen
+class ControlAnswer:
+    """Answer to an operator's request.
+
+    :ivar refusal: why it failed, or None.
+    :ivar content: JSON document for the operator.
+    """
+
+    refusal: Refusal | None
+    content: bytes
+
 
 CODEC = link.Codec(
     {
@@ -177,6 +323,15 @@
         4: Refusal,
         10: Register,
         11: Registrations,
+        20: ReplicaMessage,
+        21: Taken,
+        22: Watch,
+        23: WatchAnswer,
+        24: ApplyRequest,
+        25: HistoryRequest,
+        26: ReplicaChange,
+        27: ControlAnswer,
+        28: ShowRequest,
         12: Lookup,
         30: RetryCreditRequest,
         31: RetryCredit,
@@ -184,11 +339,5 @@
         33: MarkReceipt,
         34: PermitRequest,
         35: Permit,
-        **dict(enumerate(LEDGER_MESSAGES, 40)),
-        45: ledger.LedgerReply,
-        46: ledger.CopyRequest,
-        47: ledger.CopyPage,
-        50: quota.LeaseRequest,
-        51: LeaseReply,
     }
 )
--- a/daemon/src/cactusloftd/_reservations.py
+++ b/daemon/src/cactusloftd/_reservations.py
@@ -85,7 +85,8 @@
         try:
             while True:
                 group = self._view.read()
-                member.adopt(group.epoch, _list_names(group))
+                previous = self._view.replica.previous_epoch
+                member.adopt(group.epoch, _list_names(group), previous)
                 await asyncio.sleep(GROUP_POLL_S)
         finally:
             await member.stop()
--- a/libs/consensus/tests/test_node.py
+++ b/libs/consensus/tests/test_node.py
@@ -103,7 +103,7 @@
     """Entries behind a snapshot may already count as replicated."""
     entries = tuple(_entry(index, 3) for index in range(2, 6))
     replica = _make_node(entries=entries)
-    snapshot = messages.Snapshot(3, 3, MEMBERS, b'state')
+    snapshot = messages.Snapshot(3, 3, MEMBERS, b'state', 1)
     message = messages.InstallSnapshot(3, snapshot, 1)
     output = _receive(replica, 'b', message)
     assert output.snapshot == snapshot
@@ -137,7 +137,7 @@
     kind = messages.EntryKind.MEMBERS
     changes = tuple(messages.Entry(i, 3, kind, data) for i in (2, 3))
     replica = _make_node(entries=changes)
-    before = replica.log.find_version_at(3)
+    before = replica.log.find_membership(3).version
     replica.compact(2, b'state')
-    assert replica.log.find_version_at(3) == before == 2
+    assert replica.log.find_membership(3).version == before == 2
     assert replica.log.snapshot.version == 1
--- a/libs/ledger/src/cactusloft_ledger/_service.py
+++ b/libs/ledger/src/cactusloft_ledger/_service.py
@@ -93,14 +93,15 @@
             await self._writer
         await asyncio.to_thread(self._store.close)
 
-    def adopt(self, epoch, voters):
+    def adopt(self, epoch, voters, previous=0):
         """Enter a new epoch and copy what this member lacks.
 
         :param voters: replica ids of the ledger group.
+        :param previous: the epoch before this one, 0 when not known.
         """
         if self.is_failed or epoch <= self.core.epoch:
             return
-        self.core.adopt(epoch, voters)
+        self.core.adopt(epoch, voters, previous)
         if self._copier is not None:
             self._copier.cancel()
         if not self.core.is_active:
