--- a/daemon/src/cactusloftd/_group.py
+++ b/daemon/src/cactusloftd/_group.py
@@ -34,7 +34,7 @@
 class Group:
     """The control group.
 
-    :ivar epoch: index of the control membership in the log, 0 when unknown.
+    :ivar epoch: version of the control membership, 0 when unknown.
     :ivar term: term of the replicated log in which ``leader`` leads.
     :ivar leader: replica id, empty when none is known.
     """
@@ -62,7 +62,6 @@
     term: int
     leader: object
     membership: object
-    previous_epoch: int
 
 
 class GroupView:
@@ -111,7 +110,7 @@
     membership = replica.membership
     leader = replica.leader
     return Group(
-        membership.index,
+        membership.version,
         tuple(_make_voter(m) for m in membership.members if m.is_voter),
         replica.term,
         leader.replica_id if leader else '',
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -5,11 +5,13 @@
 
 import attrs
 
+import cactusloft_ledger as ledger
 import cactusloft_link as link
 from cactusloft_membership import registry
 from cactusloft_model import calls
 from cactusloft_model import document
 from cactusloft_model import errors
+import cactusloft_quota as quota
 from cactusloft_retry import marks as retry_marks
 
 
@@ -315,6 +317,26 @@
     content: bytes
 
 
+@attrs.frozen
+class LeaseReply:
+    """Reply to ``quota.LeaseRequest``.
+
+    :ivar grant: the lease, or None when this daemon gives none.
+    :ivar leader: replica id of the control leader, empty when not known.
+    """
+
+    grant: quota.Grant | None
+    leader: str
+
+
+LEDGER_MESSAGES = (
+    ledger.Reserve,
+    ledger.Deny,
+    ledger.Release,
+    ledger.Complete,
+    ledger.Query,
+)
+
 CODEC = link.Codec(
     {
         1: CallStart,
@@ -339,5 +361,11 @@
         33: MarkReceipt,
         34: PermitRequest,
         35: Permit,
+        **dict(enumerate(LEDGER_MESSAGES, 40)),
+        45: ledger.LedgerReply,
+        46: ledger.CopyRequest,
+        47: ledger.CopyPage,
+        50: quota.LeaseRequest,
+        51: LeaseReply,
     }
 )
--- a/daemon/src/cactusloftd/_reservations.py
+++ b/daemon/src/cactusloftd/_reservations.py
@@ -85,8 +85,7 @@
         try:
             while True:
                 group = self._view.read()
-                previous = self._view.replica.previous_epoch
-                member.adopt(group.epoch, _list_names(group), previous)
+                member.adopt(group.epoch, _list_names(group))
                 await asyncio.sleep(GROUP_POLL_S)
         finally:
             await member.stop()
--- a/libs/ledger/src/cactusloft_ledger/_member.py
+++ b/libs/ledger/src/cactusloft_ledger/_member.py
@@ -54,7 +54,6 @@
         self.active_epoch = active_epoch
         self.epoch = 0
         self.table = _entries.Table()
-        self._previous = 0
         self._voters = ()
         self._copied = set()
         self._handlers = {
@@ -90,15 +89,13 @@
         """Return the members that were copied in this epoch."""
         return frozenset(self._copied)
 
-    def adopt(self, epoch, voters, previous=0):
+    def adopt(self, epoch, voters):
         """Enter ``epoch``; older ones are ignored.
 
         :param voters: replica ids of the members.
-        :param previous: the epoch before this one, 0 when not known.
         """
         if epoch <= self.epoch:
             return
-        self._previous = previous
         self.epoch = epoch
         self._voters = tuple(voters)
         self._copied = set()
@@ -162,7 +159,7 @@
         a majority of the others.
         """
         size = len(self._voters)
-        if 0 < self._previous == self.active_epoch:
+        if 0 < self.epoch - 1 == self.active_epoch:
             return count_majority(size) - 1
         return count_majority(size - 1)
 
--- a/libs/ledger/src/cactusloft_ledger/_service.py
+++ b/libs/ledger/src/cactusloft_ledger/_service.py
@@ -93,15 +93,14 @@
             await self._writer
         await asyncio.to_thread(self._store.close)
 
-    def adopt(self, epoch, voters, previous=0):
+    def adopt(self, epoch, voters):
         """Enter a new epoch and copy what this member lacks.
 
         :param voters: replica ids of the ledger group.
-        :param previous: the epoch before this one, 0 when not known.
         """
         if self.is_failed or epoch <= self.core.epoch:
             return
-        self.core.adopt(epoch, voters, previous)
+        self.core.adopt(epoch, voters)
         if self._copier is not None:
             self._copier.cancel()
         if not self.core.is_active:
--- a/libs/ledger/tests/test_client.py
+++ b/libs/ledger/tests/test_client.py
@@ -59,7 +59,7 @@
         """Enter the next epoch and wait until the running members vote."""
         self.group = _client.Group(self.group.epoch + 1, names)
         for member in self.members.values():
-            member.adopt(self.group.epoch, names, self.group.epoch - 1)
+            member.adopt(self.group.epoch, names)
         await self.settle()
 
     async def settle(self):
--- a/libs/ledger/tests/test_schedules.py
+++ b/libs/ledger/tests/test_schedules.py
@@ -146,7 +146,7 @@
         name = self.rng.choice(self.names)
         replica = self.replicas[name]
         if self.rng.random() < 0.3:
-            replica.core.adopt(self.epoch, self.names, self.epoch - 1)
+            replica.core.adopt(self.epoch, self.names)
         source_name = self.rng.choice(self.names)
         core, source = replica.core, self.replicas[source_name].core
         if source_name == name or core.is_active:
