--- /dev/null
+++ b/daemon/src/cactusloftd/_accounts.py
@@ -0,0 +1,52 @@
+"""What a root call owes its client account: a token, and its key."""
+
+from returns import pipeline
+
+from cactusloft_model import errors
+
+
+class Accounts:
+    """Debit root calls and run those with an idempotency key once.
+
+    :param rates: :class:`_rates.Rates`.
+    :param reservations: :class:`_reservations.Reservations`.
+    """
+
+    def __init__(self, rates, reservations):
+        self._rates = rates
+        self._reservations = reservations
+
+    async def run(self, call, dispatch):
+        """Run a root call.
+
+        :param dispatch: coroutine function(call) that runs it.
+        :returns: ``Success(Response)`` or ``Failure(CallError)``.
+        """
+        admitted = await self._rates.admit(call.context)
+        if not pipeline.is_successful(admitted):
+            return admitted
+        if call.idempotency_key:
+            outcome = await self._reservations.run(call, dispatch)
+        else:
+            outcome = await dispatch(call)
+        if _is_not_run(outcome):
+            self._rates.give_back(admitted.unwrap())
+        return outcome
+
+
+class NoAccounts:
+    """Run calls as they come.
+
+    Used with a fixed document file, where no control leader divides rates and
+    no ledger group exists.
+    """
+
+    async def run(self, call, dispatch):
+        """Run a root call."""
+        return await dispatch(call)
+
+
+def _is_not_run(outcome):
+    if pipeline.is_successful(outcome):
+        return outcome.unwrap().is_replayed
+    return outcome.failure().answer.not_run is errors.NotRun.TRUE
--- a/libs/ledger/src/cactusloft_ledger/_member.py
+++ b/libs/ledger/src/cactusloft_ledger/_member.py
@@ -159,7 +159,7 @@
         a majority of the others.
         """
         size = len(self._voters)
-        if 0 < self.epoch - 1 <= self.active_epoch:
+        if 0 < self.epoch - 1 == self.active_epoch:
             return count_majority(size) - 1
         return count_majority(size - 1)
 
