Index registrations by service and by expiry

A control host scanned all registrations to list the members of a few services and to expire what had lapsed, for each registration that came in.

Live registrations are indexed by service. One queue orders the entries by their next due time; a renewal leaves its item in place, and expire() queues the entry again when the item is due. Buckets by expiry time were excluded: they need a move for each renewal.

CPU of expire(), register() and list_members() of 5 services with 18,000 registrations in 2,800 services, two runs each on a loaded machine: before 7308 and 7046 us, after 27 and 21 us.

--- a/libs/membership/src/cactusloft_membership/_registry.py
+++ b/libs/membership/src/cactusloft_membership/_registry.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import heapq
 
 import attrs
 
@@ -31,9 +32,21 @@
 
 @attrs.define
 class _Entry:
+    """A registration, or the position that is kept of a lapsed one.
+
+    :ivar until: end of the lease.
+    :ivar queued_at: due time of its item in the queue of expiry.
+    """
+
     registration: object
     until: float
     is_live: bool = True
+    queued_at: float = float('inf')
+
+    @property
+    def due_at(self):
+        """Return when it lapses, or when its position is dropped."""
+        return self.until if self.is_live else self.until + POSITION_KEPT_S
 
 
 class Registry:
@@ -45,6 +58,10 @@
 
     def __init__(self):
         self._entries = {}
+        self._by_service = collections.defaultdict(dict)
+        # One valid item (due time, name) for each entry. A renewal leaves it
+        # where it is; expire() queues the entry again when the item is due.
+        self._queue = []
         self._revisions = collections.Counter()
 
     def register(self, registration, now, lifetime_s=REGISTRATION_LEASE_S):
@@ -63,7 +80,7 @@
             return False
         lifetime_s = min(lifetime_s, REGISTRATION_LEASE_S)
         entry = _Entry(registration, now + lifetime_s)
-        self._entries[registration.name] = entry
+        self._replace(entry)
         if known is None or not known.is_live:
             self._note_change(registration)
         elif not registration.is_same_member(known.registration):
@@ -75,20 +92,7 @@
 
         :returns: registrations that lapsed since the last call.
         """
-        lapsed = [
-            entry
-            for entry in self._entries.values()
-            if entry.is_live and entry.until <= now
-        ]
-        for entry in lapsed:
-            entry.is_live = False
-            self._note_change(entry.registration)
-        self._entries = {
-            name: entry
-            for name, entry in self._entries.items()
-            if entry.until + POSITION_KEPT_S > now
-        }
-        return [entry.registration for entry in lapsed]
+        return list(self._lapse(now))
 
     def list_members(self, services, now):
         """Return the live registrations with one of ``services``.
@@ -96,9 +100,10 @@
         :param services: names of services.
         """
         return [
-            registration
-            for registration in self.list_all(now)
-            if registration.service in services
+            entry.registration
+            for service in sorted(set(services))
+            for entry in self._by_service.get(service, {}).values()
+            if entry.until > now
         ]
 
     def list_all(self, now):
@@ -127,6 +132,49 @@
             return None
         return known
 
+    def _replace(self, entry):
+        """Put ``entry`` in the place of what is held of its daemon."""
+        name = entry.registration.name
+        known = self._entries.get(name)
+        if known is not None:
+            self._remove_from_service(known)
+        self._entries[name] = entry
+        self._by_service[entry.registration.service][name] = entry
+        if known is not None and known.queued_at <= entry.due_at:
+            entry.queued_at = known.queued_at
+        else:
+            self._queue_entry(entry)
+
+    def _queue_entry(self, entry):
+        entry.queued_at = entry.due_at
+        heapq.heappush(self._queue, (entry.queued_at, entry.registration.name))
+
+    def _lapse(self, now):
+        """Handle what is due; yield the registrations that lapse."""
+        while self._queue and self._queue[0][0] <= now:
+            queued_at, name = heapq.heappop(self._queue)
+            entry = self._entries.get(name)
+            if entry is None or entry.queued_at != queued_at:
+                # A shorter lease was queued since.
+                continue
+            if entry.due_at > now:
+                self._queue_entry(entry)
+            elif entry.is_live:
+                entry.is_live = False
+                self._remove_from_service(entry)
+                self._note_change(entry.registration)
+                self._queue_entry(entry)
+                yield entry.registration
+            else:
+                del self._entries[name]
+
+    def _remove_from_service(self, entry):
+        service = entry.registration.service
+        members = self._by_service.get(service, {})
+        members.pop(entry.registration.name, None)
+        if not members:
+            self._by_service.pop(service, None)
+
     def _note_change(self, *registrations):
         for service in {r.service for r in registrations}:
             self._revisions[service] += 1
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -150,6 +150,50 @@
     assert held.find_revision(['permits']) == 0
 
 
+# (registrations with time of arrival and lifetime, time of the question,
+# services under which the daemon is listed)
+INDEX_CASES = {
+    'moved to another service': (
+        [(0, 3, {}), (1, 3, {'sequence': 2, 'service': 'permits'})],
+        2,
+        ['permits'],
+    ),
+    'renewal with a shorter lease': (
+        [(0, 3, {}), (1, 0.5, {'sequence': 2})],
+        1.6,
+        [],
+    ),
+    'renewed after the lease ended': (
+        [(0, 3, {}), (4, 3, {'sequence': 2})],
+        5,
+        ['maps'],
+    ),
+    'other service long after the lease ended': (
+        [(0, 3, {}), (50, 3, {'sequence': 2, 'service': 'permits'})],
+        51,
+        ['permits'],
+    ),
+}
+
+
+@pytest.mark.parametrize('name', INDEX_CASES)
+@pytest.mark.parametrize('expires', [True, False])
+def test_index_follows_the_registrations(name, expires):
+    """An index that misses a change would list daemons of other services."""
+    arrivals, asked_at, expected = INDEX_CASES[name]
+    held = registry.Registry()
+    for now, lifetime_s, fields in arrivals:
+        if expires:
+            held.expire(now)
+        held.register(make_member('d1', **fields), now, lifetime_s)
+    if expires:
+        held.expire(asked_at)
+    members = held.list_members(['maps', 'permits'], asked_at)
+    assert [member.service for member in members] == expected
+    held.expire(200)
+    assert not held.list_all(200)
+
+
 def test_subset_prefers_the_data_centre_and_changes_little():
     """A subset that is drawn anew would drop connections everywhere."""
     members = [make_member(f'e{n}') for n in range(8)]
