Add the exchange of registrations by differences

Every daemon registers with every control host once a second, which at 18,000 daemons and 31 control hosts is 558,000 registrations a second. A control host can be the home of the daemons that watch it and tell the others only what changed.

HomeTable lists the changes since what a receiver confirmed, or a full copy in pages; Copies holds the tables of other homes until they are silent for 3 s. A difference carries the latest registrations since its base, so a repeated one is harmless and one with an unknown base is refused. A log of single steps was excluded: it needs each step exactly once. A daemon that comes from another home is announced again even if nothing changed, since a rival's claim may be newer than the one that the others hold; without it the case of two homes that claim a daemon fails.

--- a/libs/membership/src/cactusloft_membership/_registry.py
+++ b/libs/membership/src/cactusloft_membership/_registry.py
@@ -1,8 +1,9 @@
 """Registrations at a control host: soft state with a lease.
 
-Daemons renew their registration; control hosts exchange what they hold. A
-registration never overwrites a newer one of the same daemon, whichever way
-each of them came.
+Daemons renew their registration at one control host, their *home*. What
+another control host holds as the home of its daemons is a copy here, which
+stays until the home drops it or lapses as a whole. A registration never
+overwrites a newer one of the same daemon, whichever way each of them came.
 """
 
 import collections
@@ -34,12 +35,14 @@
 class _Entry:
     """A registration, or the position that is kept of a lapsed one.
 
-    :ivar until: end of the lease.
+    :ivar until: end of the lease, infinite for a copy.
+    :ivar home: control host that the daemon watches, empty for this one.
     :ivar queued_at: due time of its item in the queue of expiry.
     """
 
     registration: object
     until: float
+    home: str = ''
     is_live: bool = True
     queued_at: float = float('inf')
 
@@ -54,6 +57,9 @@
 
     ``find_revision`` changes with every change of the members of a service,
     so that a watch can wait for it.
+
+    :ivar on_own_change: function called with the name of a daemon that came
+        to this home, changed or left it.
     """
 
     def __init__(self):
@@ -62,15 +68,25 @@
         # One valid item (due time, name) for each entry. A renewal leaves it
         # where it is; expire() queues the entry again when the item is due.
         self._queue = []
+        self._by_home = collections.defaultdict(dict)
         self._revisions = collections.Counter()
+        self.on_own_change = lambda name: None
 
-    def register(self, registration, now, lifetime_s=REGISTRATION_LEASE_S):
-        """Take a registration, from its daemon or from a control host.
+    def register(
+        self,
+        registration,
+        now,
+        lifetime_s=REGISTRATION_LEASE_S,
+        is_arrival=False,
+    ):
+        """Take a registration from its daemon.
 
         :param registration: :class:`Registration`.
         :param now: monotonic seconds.
-        :param lifetime_s: seconds for which it is valid. A control host that
-            passes it on gives what is left, so the exchange never extends it.
+        :param lifetime_s: seconds for which it is valid; less than the lease
+            by the time that it was under way.
+        :param is_arrival: whether the daemon comes from another home, which
+            may still claim it.
         :returns: whether it was newer than what was known.
         """
         known = self._find_known(registration.name, now)
@@ -79,14 +95,50 @@
         if lifetime_s <= 0:
             return False
         lifetime_s = min(lifetime_s, REGISTRATION_LEASE_S)
-        entry = _Entry(registration, now + lifetime_s)
-        self._replace(entry)
-        if known is None or not known.is_live:
-            self._note_change(registration)
-        elif not registration.is_same_member(known.registration):
-            self._note_change(known.registration, registration)
+        self._put(known, _Entry(registration, now + lifetime_s), is_arrival)
         return True
 
+    def take_copy(self, home, registration, now):
+        """Take what another control host holds of one of its daemons.
+
+        :param home: name of the control host.
+        """
+        known = self._find_known(registration.name, now)
+        if known is not None:
+            position = known.registration.position
+            # A home may repeat what it holds, but no other may claim it.
+            is_repeat = known.home == home
+            if position > registration.position:
+                return
+            if position == registration.position and not is_repeat:
+                return
+        self._put(known, _Entry(registration, float('inf'), home))
+
+    def drop_copy(self, home, name, now):
+        """Drop a daemon that left its home, unless it has another one."""
+        entry = self._by_home.get(home, {}).get(name)
+        if entry is not None:
+            entry.until = now
+            self._end(entry)
+
+    def drop_home(self, home, now, kept=()):
+        """Drop the copy of a whole home.
+
+        :param kept: names of daemons that stay.
+        """
+        for name in set(self._by_home.get(home, ())).difference(kept):
+            self.drop_copy(home, name, now)
+
+    def find_own(self, name):
+        """Return the live registration of a daemon of this home, or None."""
+        entry = self._by_home.get('', {}).get(name)
+        return entry.registration if entry is not None else None
+
+    def list_own(self):
+        """Return the registrations of the daemons of this home."""
+        entries = self._by_home.get('', {}).values()
+        return [entry.registration for entry in entries]
+
     def expire(self, now):
         """Drop what has lapsed.
 
@@ -132,19 +184,56 @@
             return None
         return known
 
+    def _put(self, known, entry, is_arrival=False):
+        """Hold ``entry`` in place of ``known`` and note what it changes."""
+        self._replace(entry)
+        registration = entry.registration
+        is_same = False
+        if known is None or not known.is_live:
+            self._note_change(registration)
+        elif registration.is_same_member(known.registration):
+            is_same = True
+        else:
+            self._note_change(known.registration, registration)
+        was_own = known is not None and known.is_live and not known.home
+        is_own = not entry.home
+        has_changed = is_arrival or not is_same
+        if was_own != is_own or (is_own and has_changed):
+            self.on_own_change(registration.name)
+
     def _replace(self, entry):
-        """Put ``entry`` in the place of what is held of its daemon."""
+        """Index ``entry`` in the place of what is held of its daemon."""
         name = entry.registration.name
         known = self._entries.get(name)
         if known is not None:
-            self._remove_from_service(known)
+            self._remove_from_indexes(known)
         self._entries[name] = entry
         self._by_service[entry.registration.service][name] = entry
+        self._by_home[entry.home][name] = entry
         if known is not None and known.queued_at <= entry.due_at:
             entry.queued_at = known.queued_at
         else:
             self._queue_entry(entry)
 
+    def _end(self, entry):
+        """Keep only the position of a live entry."""
+        entry.is_live = False
+        self._remove_from_indexes(entry)
+        self._note_change(entry.registration)
+        self._queue_entry(entry)
+        if not entry.home:
+            self.on_own_change(entry.registration.name)
+
+    def _remove_from_indexes(self, entry):
+        for index, key in (
+            (self._by_service, entry.registration.service),
+            (self._by_home, entry.home),
+        ):
+            entries = index.get(key, {})
+            entries.pop(entry.registration.name, None)
+            if not entries:
+                index.pop(key, None)
+
     def _queue_entry(self, entry):
         entry.queued_at = entry.due_at
         heapq.heappush(self._queue, (entry.queued_at, entry.registration.name))
@@ -160,21 +249,11 @@
             if entry.due_at > now:
                 self._queue_entry(entry)
             elif entry.is_live:
-                entry.is_live = False
-                self._remove_from_service(entry)
-                self._note_change(entry.registration)
-                self._queue_entry(entry)
+                self._end(entry)
                 yield entry.registration
             else:
                 del self._entries[name]
 
-    def _remove_from_service(self, entry):
-        service = entry.registration.service
-        members = self._by_service.get(service, {})
-        members.pop(entry.registration.name, None)
-        if not members:
-            self._by_service.pop(service, None)
-
     def _note_change(self, *registrations):
         for service in {r.service for r in registrations}:
             self._revisions[service] += 1
--- /dev/null
+++ b/libs/membership/src/cactusloft_membership/exchange.py
@@ -0,0 +1,17 @@
+"""Exchange of registrations between control hosts."""
+
+from cactusloft_membership._exchange import Copies
+from cactusloft_membership._exchange import HOME_LEASE_S
+from cactusloft_membership._exchange import HomeNews
+from cactusloft_membership._exchange import HomeReceipt
+from cactusloft_membership._exchange import HomeTable
+from cactusloft_membership._exchange import SETTLE_S
+
+__all__ = [
+    'Copies',
+    'HOME_LEASE_S',
+    'HomeNews',
+    'HomeReceipt',
+    'HomeTable',
+    'SETTLE_S',
+]
