--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -8,6 +8,7 @@
 from cactusloftd import _installed
 from cactusloftd import _messages
 from cactusloftd import _operators
+from cactusloftd import _texts
 from cactusloftd import _watch
 from cactusloftd import _watch_server
 
@@ -26,16 +27,20 @@
     """
 
     def __init__(self, settings, node, log, now, members):
-        self.installed = _installed.Installed(log, now)
+        is_control_host = settings.name in (
+            host.name for host in settings.control_hosts
+        )
+        self.installed = _installed.Installed(log, now, is_control_host)
         self._settings = settings
         self._node = node
         self._log = log
         self._members = members
+        self._parser = _texts.TextParser()
         self._task = None
         self._control = None
         if settings.data_folder:
             self._control = _control.Control(
-                settings, node, log, self._note_replicated
+                settings, node, log, self._parser, self._note_replicated
             )
         self.watcher = _watch.Watcher(
             settings,
@@ -45,6 +50,7 @@
             now,
             random.Random(),
             self._control.replica if self._control else None,
+            self._parser,
             self._note_installed,
         )
         self.server = _watch_server.WatchServer(
@@ -65,6 +71,7 @@
             self.installed,
             self._operators,
             self._control,
+            self._parser,
             self._members,
             owner,
             self._log,
@@ -81,6 +88,19 @@
         """Tell whether this daemon is the control leader."""
         return self._control is not None and self._control.replica.is_leader
 
+    @property
+    def replica(self):
+        """Return the local control replica, or None."""
+        return self._control.replica if self._control else None
+
+    def attach(self, name, table):
+        """Exchange a table with control hosts, and serve it as one.
+
+        :param table: has ``make_report``, ``take`` and ``exchange``.
+        """
+        self.watcher.attach(name, table.make_report, table.take)
+        self.server.attach(name, table)
+
     def start(self):
         """Start the replica, the watch and the handlers of peer requests."""
         self._node.handle_requests(_messages.Watch, self.server.answer)
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -15,12 +15,15 @@
 from cactusloft_membership import registry
 from cactusloft_model import clock
 from cactusloft_model import events
+import cactusloft_quota as quota
+from cactusloftd import _accounts
 from cactusloftd import _backend
 from cactusloftd import _callers
 from cactusloftd import _config
 from cactusloftd import _control_plane
 from cactusloftd import _entry
 from cactusloftd import _flow
+from cactusloftd import _group
 from cactusloftd import _guards
 from cactusloftd import _http
 from cactusloftd import _http_server
@@ -30,6 +33,8 @@
 from cactusloftd import _metrics
 from cactusloftd import _owner
 from cactusloftd import _peers
+from cactusloftd import _rates
+from cactusloftd import _reservations
 from cactusloftd import _retries
 
 SHUTDOWN_POLL_S = 0.02
@@ -94,6 +99,7 @@
             self._owner,
             self._members,
             self._guards,
+            self._make_accounts(config, now),
             self._log,
             now,
         )
@@ -110,6 +116,22 @@
             _retries.Retries(name, config, members, log, now),
         )
 
+    def _make_accounts(self, config, now):
+        settings, log, node = self._settings, self._log, self._node
+        view = _group.GroupView(self._plane.replica)
+        self._plane.attach(_group.TABLE, view)
+        self._allocators = _rates.Allocators(view, config, log, now)
+        boot = str(self._incarnation)
+        self._rates = _rates.Rates(
+            settings.name, boot, view, node, self._allocators, now
+        )
+        self._reservations = _reservations.Reservations(
+            settings, view, node, log, now
+        )
+        if settings.document_file:
+            return _accounts.NoAccounts()
+        return _accounts.Accounts(self._rates, self._reservations)
+
     async def run(self, stop):
         """Serve until the event ``stop`` is set, then shut down."""
         await self._start()
@@ -117,6 +139,8 @@
         tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._guards.marks.run()),
+            asyncio.create_task(self._allocators.run()),
+            asyncio.create_task(self._reservations.run_member()),
         ]
         await stop.wait()
         self._log.record(_V.DAEMON_STOPPING)
@@ -136,6 +160,8 @@
             _messages.Lookup, self._registrations.look_up
         )
         self._guards.handle_messages(self._node)
+        self._node.handle_requests(quota.LeaseRequest, self._allocators.answer)
+        self._reservations.handle_messages()
         self._plane.start()
         self._node.listen(listeners.peers)
         callers = _callers.Callers(
@@ -213,11 +239,17 @@
                 continue
 
     def _is_busy(self):
-        return self._exchanges.count > 0 or self._owner.in_flight > 0
+        counts = (
+            self._exchanges.count,
+            self._owner.in_flight,
+            self._reservations.open_calls,
+        )
+        return any(counts)
 
     async def _close(self):
         for runner in self._runners:
             await runner.cleanup()
+        self._rates.close()
         await self._owner.close()
         await self._plane.close()
         self._metrics.close()
