End the streams of a peer that vanishes

Silent connections were dropped only on the next ping of any peer. When the last peer vanished, or stopped right after its last call so that the reset of the stream was dropped with its socket, the owner kept the slot and waited for the whole shutdown grace. It showed twice as a daemon that the launcher had to kill after 30 s. A task now drops silent connections; the new test times out without it.

--- a/libs/link/src/cactusloft_link/_listener.py
+++ b/libs/link/src/cactusloft_link/_listener.py
@@ -1,5 +1,6 @@
 """The accepting side of a node: answers requests and serves streams."""
 
+import asyncio
 import time
 
 from cactusloft_link import _codec
@@ -54,13 +55,13 @@
         self._node = node
         self._socket = None
         self._connections = {}
-        self._last_sweep = 0.0
         self.request_handlers = {}
         self.stream_handlers = {}
 
     def start(self, socket):
         """Serve a bound ROUTER socket."""
         self._socket = _socket.LoopSocket(socket, self._take_parts)
+        self._node.spawn(self._sweep())
 
     def close(self):
         """Lose all streams and close the socket."""
@@ -84,7 +85,6 @@
     def _take_frame(self, connection, frame, age_s):
         if frame.type is _T.PING:
             self._send(connection, _T.PONG, 0)
-            self._drop_silent_connections()
         elif frame.type is _T.REQUEST:
             self._node.spawn(self._answer(connection, frame, age_s))
         elif frame.type is _T.STREAM_OPEN:
@@ -149,11 +149,15 @@
         _lose_streams(connection)
         return False
 
+    async def _sweep(self):
+        # Waiting for a frame instead would keep the streams of the last peer
+        # open when it vanishes.
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._drop_silent_connections()
+
     def _drop_silent_connections(self):
         now = time.monotonic()
-        if now - self._last_sweep < SWEEP_INTERVAL_S:
-            return
-        self._last_sweep = now
         limits = {True: CONNECTION_SILENCE_S, False: IDLE_SILENCE_S}
         silent = [
             connection
--- a/libs/link/tests/test_node.py
+++ b/libs/link/tests/test_node.py
@@ -7,6 +7,7 @@
 import pytest
 
 import cactusloft_link as link_lib
+from cactusloft_link import _listener
 from cactusloft_link import _node
 from cactusloft_model import clock
 
@@ -141,6 +142,29 @@
     assert run(tmp_path, scenario)
 
 
+def test_peer_that_vanishes_ends_its_streams(tmp_path, monkeypatch):
+    """A slot would stay taken, and the shutdown would wait, without end."""
+    monkeypatch.setattr(_listener, 'CONNECTION_SILENCE_S', 0.2)
+
+    async def scenario(server, client, link, address):
+        ended = asyncio.Event()
+
+        async def serve(stream, frame):
+            try:
+                await stream.wait_closed()
+            finally:
+                ended.set()
+
+        server.handle_streams(Ask, serve)
+        link.open_stream(Ask('x'))
+        await asyncio.sleep(0.05)
+        client.close()
+        await asyncio.wait_for(ended.wait(), FAR)
+        return True
+
+    assert run(tmp_path, scenario)
+
+
 def test_lost_peer_ends_requests_and_streams(tmp_path):
     """A request to a process that died must not wait for its timeout."""
 
