--- a/bench/tests/test_fleet.py
+++ b/bench/tests/test_fleet.py
@@ -81,6 +81,8 @@
     assert re.search(r'calls_total\{.*"booking".*"2xx"\} [1-9]', scrape)
     assert re.search(r'deliveries_total\{.*"success"\} [1-9]', scrape)
     assert re.search(r'backend_server_lease\{.*\} 1\.0', scrape)
+    assert re.search(r'rate_grants_total\{.*"granted"\} [1-9]', scrape)
+    assert re.search(r'rate_leases\{.*\} 1\.0', scrape)
     assert re.search(r'document_version\{.*\} 1\.0', scrape)
 
 
--- a/daemon/src/cactusloftd/_rates.py
+++ b/daemon/src/cactusloftd/_rates.py
@@ -40,15 +40,17 @@
     :param node: :class:`link.Node`.
     :param allocators: :class:`Allocators` of this daemon.
     :param now: function that returns monotonic seconds.
+    :param metrics: :class:`_metrics.Metrics`.
     """
 
-    def __init__(self, name, boot, view, node, allocators, now):
+    def __init__(self, name, boot, view, node, allocators, now, metrics):
         self._name = name
         self._boot = boot
         self._view = view
         self._node = node
         self._allocators = allocators
         self._now = now
+        self._metrics = metrics
         self._accounts = {}
         self._numbers = itertools.count()
         self._hint = ''
@@ -73,6 +75,10 @@
         if token is not None:
             token.account.give_back(token.debit)
 
+    def count_leases(self):
+        """Return the number of accounts with a live lease."""
+        return sum(a.is_leased for a in self._accounts.values())
+
     def close(self):
         """Stop renewing all leases."""
         for account in self._accounts.values():
@@ -92,6 +98,12 @@
             del self._accounts[name]
 
     async def _ask(self, request):
+        grant = await self._ask_leader(request)
+        outcome = 'unanswered' if grant is None else 'granted'
+        self._metrics.count('cactusloft_rate_grants_total', outcome)
+        return grant
+
+    async def _ask_leader(self, request):
         """Return the reply of the allocator, None when there is none."""
         group = self._view.read()
         leader = group.find_voter(self._hint) or group.find_voter(group.leader)
@@ -122,6 +134,11 @@
         self._wake = asyncio.Event()
         self.task = None
 
+    @property
+    def is_leased(self):
+        """Tell whether the holder has a live lease."""
+        return self._holder.is_leased(self._now())
+
     async def admit(self, deadline):
         """Take a token, waiting briefly for one."""
         now = self._now()
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -123,7 +123,13 @@
         self._allocators = _rates.Allocators(view, config, log, now)
         boot = str(self._incarnation)
         self._rates = _rates.Rates(
-            settings.name, boot, view, node, self._allocators, now
+            settings.name,
+            boot,
+            view,
+            node,
+            self._allocators,
+            now,
+            self._metrics,
         )
         self._reservations = _reservations.Reservations(
             settings, view, node, log, now
@@ -181,6 +187,7 @@
         observe('cactusloft_in_flight_calls', lambda: owner.in_flight)
         observe('cactusloft_queued_calls', self._read_queued)
         observe('cactusloft_concurrency_limit_calls', self._read_limit)
+        observe('cactusloft_rate_leases', self._rates.count_leases)
         observe('cactusloft_open_exchanges', lambda: exchanges.count)
         installed = self._plane.installed
         observe('cactusloft_document_version', self._read_version)
