Do not lose a cancellation to a result that comes with it

All timeouts of the daemon now use asyncio.timeout, which keeps the cancellation; so does the wait for a rate token, which also no longer drops a token that comes with the end of its wait. The new test failed before.

--- a/daemon/src/cactusloftd/_rates.py
+++ b/daemon/src/cactusloftd/_rates.py
@@ -136,9 +136,13 @@
         self._wake.set()
         try:
             wait_s = min(WAIT_S, deadline - now)
-            debit = await asyncio.wait_for(asyncio.shield(waiter), wait_s)
+            async with asyncio.timeout(wait_s):
+                debit = await asyncio.shield(waiter)
             return result.Success(Token(self, debit))
         except TimeoutError:
+            if waiter.done():
+                # The token came together with the end of the wait.
+                return result.Success(Token(self, waiter.result()))
             return self._refuse()
         except asyncio.CancelledError:
             if waiter.done():
--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -73,7 +73,8 @@
         if self._changed is None:
             self._changed = asyncio.Event()
         try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
         except TimeoutError:
             # The hold time is over: the caller answers without a change.
             return
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -224,7 +224,8 @@
         self._waiters[entry.index] = _Waiter(entry.term, future, on_decided)
         self._step()
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             return _refuse('no majority acknowledged the change in time')
         finally:
--- a/libs/ledger/src/cactusloft_ledger/_client.py
+++ b/libs/ledger/src/cactusloft_ledger/_client.py
@@ -120,7 +120,8 @@
         sends = [_claim.Send(m, message, 0) for m in group.members]
         self._spawn(self._deliver_all(sends, done))
         try:
-            await asyncio.wait_for(asyncio.shield(done), COMPLETE_LIMIT_S)
+            async with asyncio.timeout(COMPLETE_LIMIT_S):
+                await asyncio.shield(done)
         except TimeoutError:
             return False
         return True
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -239,7 +239,10 @@
         try:
             if not self._send(_T.REQUEST, exchange, message, payload):
                 return _fail(_errors.LinkFailure.LOST, 'not connected')
-            return await asyncio.wait_for(waiter, timeout_s)
+            # asyncio.wait_for of Python 3.11 loses a cancellation that comes
+            # together with the result, and the task would go on for ever.
+            async with asyncio.timeout(timeout_s):
+                return await waiter
         except TimeoutError:
             return _fail(_errors.LinkFailure.TIMEOUT, f'{timeout_s} s')
         finally:
--- a/libs/link/tests/test_node.py
+++ b/libs/link/tests/test_node.py
@@ -5,6 +5,7 @@
 
 import attrs
 import pytest
+from returns import result
 
 import cactusloft_link as link_lib
 from cactusloft_link import _node
@@ -197,6 +198,22 @@
     assert run(tmp_path, scenario).unwrap().text == 'a'
 
 
+def test_cancellation_is_not_lost_to_a_reply(tmp_path):
+    """A task that is cancelled as its reply comes must not go on."""
+
+    async def scenario(server, client, link, address):
+        task = asyncio.create_task(link.request(Ask('a'), FAR))
+        await asyncio.sleep(0)
+        [waiter] = link._requests.values()
+        waiter.set_result(result.Success(Ask('b')))
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        return True
+
+    assert run(tmp_path, scenario)
+
+
 def test_connection_is_noticed_without_pings(tmp_path, monkeypatch):
     """A first call must not wait for the next ping, nor a lost one."""
     monkeypatch.setattr(_node, 'PING_INTERVAL_S', 1000.0)
