Send a frame as one part

Header, body and payload went as three parts; each is encrypted and passed between threads by itself. The header now carries the length of the body.

--- a/libs/link/src/cactusloft_link/_codec.py
+++ b/libs/link/src/cactusloft_link/_codec.py
@@ -1,8 +1,10 @@
 """Frames: a fixed header, a MessagePack body and raw payload bytes.
 
 The header carries the message number, the exchange it belongs to, the
-sender's monotonic clock and its hybrid clock stamp. Bodies are attrs classes,
-so that both ends check types when they decode.
+sender's monotonic clock, its hybrid clock stamp and the length of the body.
+Bodies are attrs classes, so that both ends check types when they decode. A
+frame is one part of a ZeroMQ message, because each part is encrypted and
+passed between threads by itself.
 """
 
 import enum
@@ -14,7 +16,7 @@
 from cactusloft_model import clock
 
 PROTOCOL_VERSION = 1
-_HEADER = struct.Struct('!BBHQQQI')
+_HEADER = struct.Struct('!BBHQQQII')
 
 
 class FrameType(enum.IntEnum):
@@ -68,7 +70,7 @@
         }
 
     def encode(self, frame):
-        """Return the parts of ``frame`` as a list of bytes."""
+        """Return the parts of ``frame``: a list of one bytes object."""
         number, body = 0, b''
         if frame.message is not None:
             number = self._numbers[type(frame.message)]
@@ -81,8 +83,9 @@
             frame.sent_us,
             frame.stamp.wall_ms,
             frame.stamp.counter,
+            len(body),
         )
-        return [header, body, frame.payload]
+        return [b''.join((header, body, frame.payload))]
 
     def decode(self, parts):
         """Return the frame of ``parts``.
@@ -90,12 +93,16 @@
         :raises MalformedFrame: when the parts are not a known frame.
         """
         try:
-            header, body, payload = parts
-            version, kind, number, exchange, sent_us, wall_ms, counter = (
-                _HEADER.unpack(header)
-            )
+            (content,) = parts
+            fields = _HEADER.unpack_from(content)
+            version, kind, number, exchange, sent_us = fields[:5]
+            wall_ms, counter, body_bytes = fields[5:]
             if version != PROTOCOL_VERSION:
                 raise MalformedFrame(f'protocol version {version}')
+            body_end = _HEADER.size + body_bytes
+            if body_end > len(content):
+                raise MalformedFrame('shorter than its body')
+            body = memoryview(content)[_HEADER.size : body_end]
             message = self._decoders[number].decode(body) if number else None
             return Frame(
                 FrameType(kind),
@@ -103,7 +110,7 @@
                 sent_us,
                 clock.Stamp(wall_ms, counter),
                 message,
-                payload,
+                content[body_end:],
             )
         except (ValueError, KeyError, struct.error) as error:
             raise MalformedFrame(str(error)) from error
--- a/libs/link/tests/test_node.py
+++ b/libs/link/tests/test_node.py
@@ -13,6 +13,21 @@
 from cactusloft_model import clock
 
 FAR = 10.0
+# A request of class 1 whose body shall have 5 bytes, up to the body.
+HEADER = bytes((1, 1, 0, 1)) + bytes(31) + b'\x05'
+HEADER_BYTES = 36
+# Another version, an unknown class, and bodies that are missing, short, no
+# MessagePack, or of another class.
+MALFORMED = (
+    [b'x'],
+    [b'\xff' * HEADER_BYTES],
+    [b'\x01' * HEADER_BYTES],
+    [HEADER],
+    [HEADER + b'abc'],
+    [HEADER + b'\xc1\xc1\xc1\xc1\xc1'],
+    [HEADER + b'\x94\x01\x01\x01\x01'],
+    [HEADER, b'', b''],
+)
 
 
 @attrs.frozen
@@ -215,8 +230,8 @@
             return message
 
         server.handle_requests(Ask, answer)
-        for parts in ([b'x'], [b'\xff' * 32, b'', b''], [b'', b'\xc1', b'']):
-            link._socket.send(parts)
+        for content in MALFORMED:
+            link._socket.send(content)
         return await link.request(Ask('a'), FAR)
 
     assert run(tmp_path, scenario).unwrap().text == 'a'
