Set no timer where a call waits for nothing

A request whose body came with its head, a call that is admitted at once and a link that is up each set and cancelled a timer.

--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -40,6 +40,10 @@
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[ticket] = waiter
         self._apply(self.admission.offer(ticket))
+        if waiter.done():
+            # Decided at once, as most calls are; a timer would be in vain.
+            del self._waiters[ticket]
+            return waiter.result()
         try:
             async with asyncio.timeout(ticket.deadline - self._now()):
                 return await waiter
--- a/daemon/src/cactusloftd/_http.py
+++ b/daemon/src/cactusloftd/_http.py
@@ -59,6 +59,12 @@
         return result.Success(b'')
     if request.headers.get('Expect', '').lower() == '100-continue':
         await request.writer.write(CONTINUE)
+    if request.content.is_eof():
+        # All of it came with the head, as for most calls.
+        body = request.content.read_nowait()
+        if len(body) > limit:
+            return _calls.fail(_E.BODY_TOO_LARGE, f'at most {limit} bytes')
+        return result.Success(body)
     parts, size = [], 0
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -262,6 +262,8 @@
 
     async def wait_until_up(self, timeout_s):
         """Wait until the peer answered; return False when it did not."""
+        if self._up.is_set():
+            return True
         try:
             async with asyncio.timeout(timeout_s):
                 await self._up.wait()
