--- a/bench/tests/test_failures.py
+++ b/bench/tests/test_failures.py
@@ -137,6 +137,18 @@
     assert kinds <= {'shutting_down', 'connection_failed'}
 
 
+def test_frozen_daemon_is_left_out_and_comes_back(serving):
+    """A frozen host answers nothing and looks alive to its connections."""
+    daemon = serving.get_daemon('m1')
+    daemon.freeze()
+    with futures.ThreadPoolExecutor() as pool:
+        report = start_load(pool, serving, ['e1'], rate=10).result()
+    assert 'not_own_answer' not in report.total.failures
+    serving.wait_until_whole(build_request(), ['e1', 'c1'])
+    daemon.resume()
+    serving.wait_until_whole(build_request(), ['m1'])
+
+
 HOSTILE_BYTES = {
     'random': bytes(range(256)) * 64,
     'endless head': b'GET / HTTP/1.1\r\nX: ' + b'a' * 200_000,
