--- a/bench/src/cactusloft_bench/_fleet.py
+++ b/bench/src/cactusloft_bench/_fleet.py
@@ -260,13 +260,22 @@
             return await _requests.send_attempt(session, url, request)
 
     def _command(self, name, method, path, fields):
-        request = urllib.request.Request(
-            f'{self.get_stand_in_url(name)}/_stand_in/{path}',
-            data=json.dumps(fields).encode(),
-            headers={'Content-Type': 'application/json'},
-            method=method,
-        )
-        urllib.request.urlopen(request, timeout=10).close()
+        command_stand_in(self.get_stand_in_url(name), method, path, fields)
+
+
+def command_stand_in(url, method, path, fields):
+    """Send a command to a stand-in server.
+
+    :param path: command, such as ``behaviour``.
+    :param fields: mapping that is sent as JSON.
+    """
+    request = urllib.request.Request(
+        f'{url}/_stand_in/{path}',
+        data=json.dumps(fields).encode(),
+        headers={'Content-Type': 'application/json'},
+        method=method,
+    )
+    urllib.request.urlopen(request, timeout=10).close()
 
 
 def _has_version(status, version):
--- a/bench/src/cactusloft_bench/_load_run.py
+++ b/bench/src/cactusloft_bench/_load_run.py
@@ -65,7 +65,9 @@
         advised = attempt.retry_after_s if client.heeds_retry_after else 0.0
         await asyncio.sleep(max(client.retry_delay_s, advised))
     latency_s = time.monotonic() - started
-    return _requests.Outcome(arrival.request, tuple(attempts), latency_s)
+    return _requests.Outcome(
+        arrival.request, tuple(attempts), latency_s, arrival.at_s
+    )
 
 
 async def run_load(settings):
--- a/bench/src/cactusloft_bench/_requests.py
+++ b/bench/src/cactusloft_bench/_requests.py
@@ -74,17 +74,24 @@
     """How a request ended, over all its attempts.
 
     :ivar latency_s: from the first sending to the end of the last attempt.
+    :ivar started_s: first sending, from the start of the load run.
     """
 
     request: Request
     attempts: tuple[Attempt, ...]
     latency_s: float
+    started_s: float = 0.0
 
     @property
     def is_whole(self):
         """Whether the last attempt brought the complete answer."""
         return self.attempts[-1].is_whole
 
+    @property
+    def ended_s(self):
+        """Return the end of the last attempt, like ``started_s``."""
+        return self.started_s + self.latency_s
+
     @property
     def is_surely_not_run(self):
         """Whether every attempt was refused as not run."""
--- a/bench/src/cactusloft_bench/capacity/_process_probes.py
+++ b/bench/src/cactusloft_bench/capacity/_process_probes.py
@@ -137,7 +137,7 @@
 
 def _start(hosts):
     document = fleet.render_document([ACCOUNT], ROUTES)
-    return fleet.Fleet(hosts, document, is_replicated=True)
+    return fleet.Fleet(hosts, document)
 
 
 def _apply_changes(running, operator, count):
--- a/bench/src/cactusloft_bench/fleet.py
+++ b/bench/src/cactusloft_bench/fleet.py
@@ -7,6 +7,7 @@
 from cactusloft_bench._documents import Account
 from cactusloft_bench._documents import render_document
 from cactusloft_bench._documents import Route
+from cactusloft_bench._fleet import command_stand_in
 from cactusloft_bench._fleet import Fleet
 from cactusloft_bench._hosts import Host
 from cactusloft_bench._hosts import OPERATOR_TOKEN
@@ -21,5 +22,6 @@
     'ManagedProcess',
     'OPERATOR_TOKEN',
     'Route',
+    'command_stand_in',
     'render_document',
 ]
