Test a full disk of the leader with real daemons

Guards against a replica that goes on voting, or a daemon that stops serving, when the data folder cannot be written. The limit of the file size stands in for the full disk.

--- a/daemon/tests/conftest.py
+++ b/daemon/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import resource
 import shutil
 import signal
 import socket
@@ -68,6 +69,11 @@
     def read_log(self):
         return self._log.read_text()
 
+    def limit_file_size(self, size):
+        """Let writes fail as on a full disk."""
+        limits = (size, resource.RLIM_INFINITY)
+        resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, limits)
+
     def lose_data(self):
         shutil.rmtree(self.settings.parent / f'{self.name}-data')
 
--- a/daemon/tests/test_control_failures.py
+++ b/daemon/tests/test_control_failures.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import random
 import threading
 
 from cactusloft_model import keys
@@ -189,3 +190,21 @@
     assert replica.wait() == 1
     errors = replica.read_log()
     assert 'log damaged at byte' in errors and 'Traceback' not in errors
+
+
+def test_full_disk_of_the_leader(make_fleet, wait):
+    """A replica that cannot write must stop voting and must say so."""
+    fleet = make_fleet(REPLICAS)
+    leader = fleet.find_leader()
+    assert leader.apply(0, 'first', _make_document())[0] == 200
+    leader.limit_file_size(64 * 1024)
+    # Does not compress to less than the limit.
+    text = _make_document(note=random.Random(1).randbytes(100_000).hex())
+    assert leader.apply(1, 'second', text) == (200, {'version': 2})
+    status = leader.read_status()
+    assert status['replica_role'] == 'failed'
+    assert 'cannot be written' in status['replica_failure']
+    # The daemon goes on with what other control hosts confirm.
+    wait(lambda: leader.read_status()['version'] == 2)
+    wait(lambda: leader.read_status()['is_fresh'])
+    assert leader.apply(2, 'third', _make_document())[1] == {'version': 3}
