Test repairs in random schedules and the watch client

The repairs lose one disk after another, with restarts and lost messages in between. The tests of the watch client guard against staying at an isolated control host and against relays that confirm each other.

--- /dev/null
+++ b/daemon/tests/test_watch.py
@@ -0,0 +1,150 @@
+"""Tests of the watch client: what it takes, and from which control host."""
+
+import asyncio
+import random
+
+import pytest
+from returns import result
+import structlog
+
+import cactusloft_link as link
+from cactusloft_model import clock
+from cactusloft_model import document
+from cactusloft_model import events
+from cactusloftd import _installed
+from cactusloftd import _messages
+from cactusloftd import _settings
+from cactusloftd import _texts
+from cactusloftd import _watch
+
+SECTION = document.Section('service a', ())
+SETTINGS = """
+[daemon]
+name = {name}
+host = h1
+data_centre = dc1
+[listen]
+callers = 127.0.0.1:1
+backend = 127.0.0.1:2
+admin = 127.0.0.1:3
+peers = 127.0.0.1:4
+[security]
+operator_token_hash = unused
+curve_public_key = {key}
+curve_secret_key = {key}
+allowed_keys = allowed
+[control_hosts]
+far = dc2 127.0.0.1:5 {key}
+near = dc1 127.0.0.1:6 {key}
+relay = dc1 127.0.0.1:7 {key}
+"""
+
+
+class _Peer:
+    """A control host that gives one answer, again and again."""
+
+    def __init__(self):
+        self.answer = None
+        self.watches = []
+
+    async def wait_until_up(self, _timeout_s):
+        return True
+
+    async def request(self, watch, _timeout_s):
+        self.watches.append(watch)
+        if self.answer is None:
+            error = link.LinkError(link.LinkFailure.TIMEOUT)
+            return result.Failure(error)
+        await asyncio.sleep(0.001)
+        return result.Success(self.answer)
+
+
+class _Fleet:
+    """Control hosts by the port of their peer listener."""
+
+    def __init__(self):
+        self.far, self.near, self.relay = _Peer(), _Peer(), _Peer()
+        self._peers = {'5': self.far, '6': self.near, '7': self.relay}
+
+    def connect(self, address):
+        return self._peers[address.endpoint[-1]]
+
+
+def _make_answer(version=1, age_s=0.0, relays=0, tables=()):
+    changes = document.Changes((SECTION,), ())
+    return _messages.WatchAnswer(
+        version, 'change', age_s, relays, None, 0, changes, tables
+    )
+
+
+@pytest.fixture
+def fleet():
+    return _Fleet()
+
+
+@pytest.fixture
+def make_watcher(fleet):
+    def make(name):
+        text = SETTINGS.format(name=name, key='k' * 40)
+        hybrid_clock = clock.HybridClock(lambda: 0)
+        log = events.EventLog(name, hybrid_clock, structlog.get_logger())
+        ticks = iter(range(100, 10**9))
+        return _watch.Watcher(
+            _settings.parse_settings(text).unwrap(),
+            fleet,
+            _installed.Installed(log, lambda: next(ticks) / 1000, False),
+            log,
+            lambda: next(ticks) / 1000,
+            random.Random(1),
+            None,
+            _texts.TextParser(),
+            lambda: None,
+        )
+
+    return make
+
+
+async def _run_until(watcher, is_done):
+    task = asyncio.create_task(watcher.run())
+    async with asyncio.timeout(30):
+        while not is_done():
+            await asyncio.sleep(0.01)
+    task.cancel()
+
+
+def test_daemon_moves_from_useless_control_hosts(fleet, make_watcher):
+    """An isolated control host answers, and yet confirms nothing new."""
+    fleet.near.answer = _make_answer(age_s=_watch.MOVE_AGE_S + 0.1)
+    fleet.relay.answer = _make_answer(age_s=None)
+    fleet.far.answer = _make_answer(version=2)
+    watcher = make_watcher('d1')
+    asyncio.run(_run_until(watcher, lambda: len(fleet.far.watches) > 5))
+    assert fleet.near.watches and fleet.relay.watches
+    assert watcher._installed.version.number == 2
+    # It stays where it gets confirmations.
+    assert len(fleet.near.watches) == 1
+
+
+def test_relay_takes_no_answers_of_relays(fleet, make_watcher):
+    """Two isolated relays would keep each other's confirmation alive."""
+    fleet.near.answer = _make_answer(relays=1)
+    watcher = make_watcher('relay')
+    asyncio.run(_run_until(watcher, lambda: len(fleet.near.watches) > 1))
+    assert watcher._installed.confirmed_at is None
+    assert not fleet.relay.watches, 'a relay watched itself'
+
+
+def test_tables_go_both_ways(fleet, make_watcher):
+    """Versions of a table must not be taken for those of another host."""
+    table = _messages.Table('marks', 7, b'content')
+    fleet.near.answer = _make_answer(tables=(table,))
+    watcher, taken = make_watcher('d1'), []
+    watcher.attach('marks', lambda: b'report', taken.append)
+    asyncio.run(_run_until(watcher, lambda: len(fleet.near.watches) > 1))
+    first, second = fleet.near.watches[:2]
+    assert first.tables[0].content == b'report' and taken[0] == b'content'
+    assert (first.tables[0].known, second.tables[0].known) == (0, 7)
+    fleet.near.answer = None
+    before = len(fleet.far.watches)
+    asyncio.run(_run_until(watcher, lambda: len(fleet.far.watches) > before))
+    assert fleet.far.watches[before].tables[0].known == 0
--- a/libs/consensus/tests/test_group.py
+++ b/libs/consensus/tests/test_group.py
@@ -214,6 +214,45 @@
     assert len(accepted) > 10
 
 
+@pytest.mark.parametrize('seed', range(6))
+def test_random_repairs(make_group, seed):
+    """Disks lost one after another must not lose an acknowledged change."""
+    group = make_group(3, seed=seed)
+    group.loss = 0.05
+    for number in range(12):
+        lost = group.random.choice(list(group.hosts))
+        former = group.hosts[lost].node.replica_id
+        _propose_some(group, number)
+        group.lose_disk(lost)
+        if group.random.random() < 0.5:
+            # A restart of the others in the middle of the repair.
+            other = group.random.choice([a for a in group.hosts if a != lost])
+            group.kill(other)
+            group.restart(other)
+        group.remove(former)
+        _propose_some(group, number + 100)
+        group.join(lost)
+    _heal(group)
+    accepted = [
+        o for o, _ in group.acknowledged.values() if o.kind is ACCEPTED
+    ]
+    assert len(accepted) > 10
+    _await_version(group, max(outcome.version for outcome in accepted))
+    group.run_until(lambda: _is_settled(group))
+    members = group.find_leader().node.membership.members
+    living = {host.node.replica_id for host in group.hosts.values()}
+    assert {m.replica_id for m in members if m.is_voter} == living
+
+
+def _propose_some(group, number):
+    for attempt in range(group.random.randint(1, 4)):
+        leader = group.find_leader()
+        if leader is not None:
+            version = leader.store.version
+            group.propose(version, f'{number}-{attempt}')
+        group.run_for(group.random.uniform(0.0, 0.4))
+
+
 def _is_settled(group):
     leader = group.find_leader()
     return leader is not None and _has_all(group, leader.store.version)
