--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -60,10 +60,11 @@
             settings, node, self._control, now
         )
 
-    def make_admin(self, owner):
+    def make_admin(self, owner, metrics):
         """Return the operator listener.
 
         :param owner: :class:`_owner.Owner`.
+        :param metrics: :class:`_metrics.Metrics`.
         """
         return _admin.Admin(
             self._settings,
@@ -74,6 +75,7 @@
             self._members,
             owner,
             self._log,
+            metrics,
         )
 
     @property
@@ -86,6 +88,19 @@
         """Tell whether this daemon is the control leader."""
         return self._control is not None and self._control.replica.is_leader
 
+    @property
+    def replica(self):
+        """Return the local control replica, or None."""
+        return self._control.replica if self._control else None
+
+    def attach(self, name, table):
+        """Exchange a table with control hosts, and serve it as one.
+
+        :param table: has ``make_report``, ``take`` and ``exchange``.
+        """
+        self.watcher.attach(name, table.make_report, table.take)
+        self.server.attach(name, table)
+
     def start(self):
         """Start the replica, the watch and the handlers of peer requests."""
         self._node.handle_requests(_messages.Watch, self.server.answer)
--- a/daemon/src/cactusloftd/_entry.py
+++ b/daemon/src/cactusloftd/_entry.py
@@ -64,15 +64,19 @@
     :param owner: the local owner.
     :param members: :class:`_members.Members`.
     :param guards: :class:`_guards.Guards`.
+    :param accounts: :class:`_accounts.Accounts`.
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, name, config, owner, members, guards, log, now):
+    def __init__(
+        self, name, config, owner, members, guards, accounts, log, now
+    ):
         self._name = name
         self._config = config
         self._owner = owner
         self._members = members
+        self._accounts = accounts
         self._flow = guards.flow
         self._marks = guards.marks
         self._retries = guards.retries
@@ -128,7 +132,10 @@
             idempotent=route.idempotent,
             fingerprint=_fingerprint(inbound, account, route.service, body),
         )
-        return result.Success(_make_call(context, inbound, body, route))
+        call = _make_call(context, inbound, body, route)
+        if not route.idempotent:
+            call = attrs.evolve(call, idempotency_key=inbound.idempotency_key)
+        return result.Success(call)
 
     def make_nested_call(self, inbound, service, parent, body):
         """Return the call that a backend server makes within ``parent``.
@@ -174,6 +181,9 @@
             return await self._dispatch_nested(call)
         if self._flow.is_refused(call):
             return _calls.fail(_E.OVERLOADED, 'would be shed deeper')
+        return await self._accounts.run(call, self._dispatch_root)
+
+    async def _dispatch_root(self, call):
         route = self._config.current.find_service_route(
             call.context.service, call.method, call.path
         )
