--- a/libs/quota/src/cactusloft_quota/_allocator.py
+++ b/libs/quota/src/cactusloft_quota/_allocator.py
@@ -8,6 +8,8 @@
 certainly expired.
 """
 
+import collections
+
 import attrs
 
 from cactusloft_quota import _messages
@@ -77,9 +79,19 @@
     :param rate: tokens per second.
     :param burst: tokens.
     :param now: monotonic seconds.
+    :param lifetime_s: lifetime of grants.
     """
 
-    def __init__(self, name, client_account, rate, burst, now):
+    def __init__(
+        self,
+        name,
+        client_account,
+        rate,
+        burst,
+        now,
+        lifetime_s=_messages.LIFETIME_S,
+    ):
+        self._lifetime_s = lifetime_s
         self.name = name
         self._account = client_account
         self._rate = rate
@@ -88,11 +100,15 @@
         self._refilled_at = now
         self._numbers = 0
         self._holders = {}
+        self._expiries = collections.deque()
+        self._total_rate = 0.0
+        self._total_burst = 0.0
+        self._total_demand = 0.0
         # Grants of an earlier allocator, of which nothing is known.
         self._unknown_rate = rate
         self._unknown_burst = burst
         self._silent_until = now + SILENCE_S
-        self._unknown_until = now + SILENCE_S + _messages.LIFETIME_S
+        self._unknown_until = self._silent_until + lifetime_s
 
     @property
     def level(self):
@@ -102,14 +118,12 @@
     @property
     def leased_rate(self):
         """Return the rate that may be in use by holders."""
-        known = sum(holder.rate for holder in self._holders.values())
-        return known + self._unknown_rate
+        return self._total_rate + self._unknown_rate
 
     @property
     def leased_burst(self):
         """Return the burst that may be in use by holders."""
-        known = sum(holder.burst for holder in self._holders.values())
-        return known + self._unknown_burst
+        return self._total_burst + self._unknown_burst
 
     def set_limits(self, rate, burst, now):
         """Change the account's rate and burst.
@@ -136,6 +150,7 @@
         if request.sequence <= holder.sequence:
             return None
         holder.sequence = request.sequence
+        self._total_demand += request.demand - holder.demand
         holder.demand = request.demand
         holder.heard_at = now
         self._adopt(holder, request, now)
@@ -143,7 +158,8 @@
         # grant but the one that it shows.
         shown = self._number_shown(request)
         before = holder.burst
-        holder.shares = [s for s in holder.shares if s.number == shown]
+        kept = [s for s in holder.shares if s.number == shown]
+        self._set_shares(holder, kept)
         # Tokens come back only in place of capacity that was counted until
         # now. A request so late that the share has expired gives none.
         self._level += min(request.returned, before - holder.burst)
@@ -161,11 +177,31 @@
             self._earn(self._unknown_until)
             self._unknown_rate = self._unknown_burst = 0.0
         self._earn(now)
-        for key, holder in list(self._holders.items()):
-            holder.shares = [s for s in holder.shares if s.expires_at > now]
-            is_silent = now - holder.heard_at > 2 * _messages.LIFETIME_S
-            if is_silent and not holder.shares:
+        self._expire(now)
+
+    def _expire(self, now):
+        """Forget expired shares, and holders that have no other."""
+        while self._expiries and self._expiries[0][0] <= now:
+            _, key = self._expiries.popleft()
+            holder = self._holders.get(key)
+            if holder is None:
+                continue
+            live = [s for s in holder.shares if s.expires_at > now]
+            self._set_shares(holder, live)
+            if not live and holder.heard_at + self._lifetime_s <= now:
+                self._total_demand -= holder.demand
                 del self._holders[key]
+        if not self._holders:
+            # Rounding errors of the sums end here.
+            self._total_rate = self._total_burst = self._total_demand = 0.0
+
+    def _set_shares(self, holder, shares):
+        """Replace a holder's shares; the sums spare a pass over all."""
+        self._total_rate -= holder.rate
+        self._total_burst -= holder.burst
+        holder.shares = shares
+        self._total_rate += holder.rate
+        self._total_burst += holder.burst
 
     def _earn(self, until):
         elapsed = max(0.0, until - self._refilled_at)
@@ -198,10 +234,9 @@
             return
         self._unknown_rate = max(0.0, self._unknown_rate - request.rate)
         self._unknown_burst = max(0.0, self._unknown_burst - request.burst)
-        expires_at = now + _messages.LIFETIME_S
-        holder.shares = [
-            _Share(_ADOPTED, request.rate, request.burst, 0.0, expires_at)
-        ]
+        expires_at = now + self._lifetime_s
+        share = _Share(_ADOPTED, request.rate, request.burst, 0.0, expires_at)
+        self._set_shares(holder, [share])
 
     def _grant(self, holder, request, now):
         other_rate = self.leased_rate - holder.rate
@@ -218,10 +253,11 @@
             burst = rate = 0.0
         tokens = self._choose_tokens(holder, request, burst)
         self._numbers += 1
-        expires_at = now + _messages.LIFETIME_S
-        holder.shares.append(
-            _Share(self._numbers, rate, burst, tokens, expires_at)
-        )
+        expires_at = now + self._lifetime_s
+        share = _Share(self._numbers, rate, burst, tokens, expires_at)
+        self._set_shares(holder, [*holder.shares, share])
+        key = (request.holder, request.boot)
+        self._expiries.append((expires_at, key))
         self._level -= tokens
         self._clip_level()
         return _messages.Grant(
@@ -243,16 +279,13 @@
         tokens = max(request.wanted, spare)
         return max(0.0, min(tokens, self._level, burst))
 
-    def _sum_demand(self):
-        return sum(holder.demand for holder in self._holders.values())
-
     def _choose_rate(self, holder):
-        wanted = self._sum_demand() * RATE_HEADROOM
+        wanted = self._total_demand * RATE_HEADROOM
         scale = min(1.0, self._rate / wanted) if wanted > 0 else 0.0
         return holder.demand * RATE_HEADROOM * scale
 
     def _choose_burst(self, holder, request):
-        total = self._sum_demand()
+        total = self._total_demand
         if total <= 0:
             return min(request.wanted, self._burst)
         part = self._burst * SHARED_BURST * holder.demand / total
--- a/libs/quota/src/cactusloft_quota/_holder.py
+++ b/libs/quota/src/cactusloft_quota/_holder.py
@@ -19,8 +19,6 @@
 # refuse within milliseconds, so few calls lose theirs.
 RETURNABLE = 256
 
-_USABLE_LIFETIME_S = _messages.LIFETIME_S * (1 - _messages.LIFETIME_MARGIN)
-
 
 @attrs.frozen
 class Debit:
@@ -49,9 +47,18 @@
     :param name: name of the daemon.
     :param boot: identity of the process.
     :param now: monotonic seconds.
+    :param lifetime_s: lifetime of grants, the same at the allocator.
     """
 
-    def __init__(self, name, boot, client_account, now):
+    def __init__(
+        self,
+        name,
+        boot,
+        client_account,
+        now,
+        lifetime_s=_messages.LIFETIME_S,
+    ):
+        self._usable_s = lifetime_s * (1 - _messages.LIFETIME_MARGIN)
         self._name = name
         self._boot = boot
         self._account = client_account
@@ -178,7 +185,7 @@
         # A second copy would add the tokens again.
         self._awaited = 0
         self._refill(now)
-        expires_at = self._sent_at + _USABLE_LIFETIME_S
+        expires_at = self._sent_at + self._usable_s
         if now >= expires_at:
             return
         if self._grant is not None and _is_smaller(grant, self._grant):
