--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -35,6 +35,8 @@
         self._now = now
         self._owners = {}
         self._changed = None
+        self._cached_version = _installed.NO_VERSION
+        self._cached_changes = {}
 
     def attach(self, name, owner):
         """Relay the table ``name`` of a :class:`TableOwner`."""
@@ -48,13 +50,14 @@
 
     async def answer(self, watch, _age_s):
         """Answer at once if anything changed, else after the hold time."""
-        limit = self._now() + min(watch.hold_ms / 1000, MAX_HOLD_S)
+        received_at = self._now()
+        limit = received_at + min(watch.hold_ms / 1000, MAX_HOLD_S)
         while True:
             tables = self._exchange(watch)
             has_changed = self._has_changed(watch)
             remaining = limit - self._now()
             if tables or has_changed or remaining <= 0:
-                return self._make_answer(watch, tables)
+                return self._make_answer(watch, tables, received_at)
             await self._wait(remaining)
 
     def _has_changed(self, watch):
@@ -70,7 +73,8 @@
         if self._changed is None:
             self._changed = asyncio.Event()
         try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
         except TimeoutError:
             # The hold time is over: the caller answers without a change.
             return
@@ -83,7 +87,7 @@
         )
         return tuple(table for table in answers if table is not None)
 
-    def _make_answer(self, watch, tables):
+    def _make_answer(self, watch, tables, received_at):
         self._watcher.take_local()
         installed = self._installed
         base_version, changes = 0, None
@@ -94,7 +98,9 @@
             group = None
         age_s = None
         if installed.confirmed_at is not None:
-            age_s = installed.age_s
+            # Relative to the receipt, so that the hold time does not count:
+            # the asker sent the watch before it was received here.
+            age_s = received_at - installed.confirmed_at
         return _messages.WatchAnswer(
             version=installed.version.number,
             change_id=installed.version.change_id,
@@ -108,12 +114,19 @@
 
     def _list_changes(self, watch):
         """Return the base version and the changes from there."""
+        version = self._installed.version
+        if version != self._cached_version:
+            self._cached_version = version
+            self._cached_changes.clear()
         known = _installed.Version(watch.version, watch.change_id)
-        base = self._installed.find_document(known)
-        base_version = watch.version
+        base = self._installed.find_sections(known)
         if base is None:
-            base, base_version = document.EMPTY_DOCUMENT, 0
-        changes = document.list_changes(
-            base.sections, self._installed.current.sections
-        )
-        return base_version, changes
+            base, known = {}, _installed.NO_VERSION
+        # Hundreds of daemons ask for the same difference.
+        changes = self._cached_changes.get(known)
+        if changes is None:
+            changes = document.list_changes(
+                base, self._installed.current.sections
+            )
+            self._cached_changes[known] = changes
+        return known.number, changes
--- a/libs/quota/src/cactusloft_quota/_allocator.py
+++ b/libs/quota/src/cactusloft_quota/_allocator.py
@@ -8,11 +8,8 @@
 certainly expired.
 """
 
-import collections
-
-import attrs
-
 from cactusloft_quota import _messages
+from cactusloft_quota import _shares
 
 # Rate shares exceed the reported demand, so that random peaks find tokens.
 RATE_HEADROOM = 1.2
@@ -31,47 +28,6 @@
 _ADOPTED = 0
 
 
-@attrs.frozen
-class _Share:
-    """A grant that may be in use.
-
-    :ivar tokens: tokens that came with it.
-    :ivar expires_at: monotonic seconds on the allocator's clock.
-    """
-
-    number: int
-    rate: float
-    burst: float
-    tokens: float
-    expires_at: float
-
-
-@attrs.define
-class _Holder:
-    """What the allocator knows about a holder."""
-
-    sequence: int = 0
-    demand: float = 0.0
-    heard_at: float = 0.0
-    shares: list[_Share] = attrs.field(factory=list)
-
-    @property
-    def rate(self):
-        """Return the highest rate the holder may use."""
-        return max((share.rate for share in self.shares), default=0.0)
-
-    @property
-    def burst(self):
-        """Return the most tokens that the holder may have.
-
-        The tokens of a grant that is under way come on top of the bucket of
-        the grant before it.
-        """
-        bursts = [share.burst for share in self.shares]
-        under_way = sum(share.tokens for share in self.shares[1:])
-        return max([*bursts, *(b + under_way for b in bursts[:1])], default=0)
-
-
 class Allocator:
     """Grant rate leases for one account.
 
@@ -99,11 +55,7 @@
         self._level = 0.0
         self._refilled_at = now
         self._numbers = 0
-        self._holders = {}
-        self._expiries = collections.deque()
-        self._total_rate = 0.0
-        self._total_burst = 0.0
-        self._total_demand = 0.0
+        self._shares = _shares.Shares()
         # Grants of an earlier allocator, of which nothing is known.
         self._unknown_rate = rate
         self._unknown_burst = burst
@@ -118,12 +70,12 @@
     @property
     def leased_rate(self):
         """Return the rate that may be in use by holders."""
-        return self._total_rate + self._unknown_rate
+        return self._shares.rate + self._unknown_rate
 
     @property
     def leased_burst(self):
         """Return the burst that may be in use by holders."""
-        return self._total_burst + self._unknown_burst
+        return self._shares.burst + self._unknown_burst
 
     def set_limits(self, rate, burst, now):
         """Change the account's rate and burst.
@@ -146,25 +98,23 @@
         if now < self._silent_until:
             return None
         key = (request.holder, request.boot)
-        holder = self._holders.setdefault(key, _Holder())
+        holder = self._shares.find(key)
         if request.sequence <= holder.sequence:
             return None
         holder.sequence = request.sequence
-        self._total_demand += request.demand - holder.demand
-        holder.demand = request.demand
-        holder.heard_at = now
-        self._adopt(holder, request, now)
+        self._shares.note_request(key, request.demand, now)
+        self._adopt(key, holder, request, now)
         # A holder drops replies to earlier requests, so it will not use any
         # grant but the one that it shows.
         shown = self._number_shown(request)
         before = holder.burst
         kept = [s for s in holder.shares if s.number == shown]
-        self._set_shares(holder, kept)
+        self._shares.replace(key, kept)
         # Tokens come back only in place of capacity that was counted until
         # now. A request so late that the share has expired gives none.
         self._level += min(request.returned, before - holder.burst)
         self._clip_level()
-        return self._grant(holder, request, now)
+        return self._grant(key, holder, request, now)
 
     def _refill(self, now):
         """Earn tokens and forget what has expired.
@@ -177,31 +127,7 @@
             self._earn(self._unknown_until)
             self._unknown_rate = self._unknown_burst = 0.0
         self._earn(now)
-        self._expire(now)
-
-    def _expire(self, now):
-        """Forget expired shares, and holders that have no other."""
-        while self._expiries and self._expiries[0][0] <= now:
-            _, key = self._expiries.popleft()
-            holder = self._holders.get(key)
-            if holder is None:
-                continue
-            live = [s for s in holder.shares if s.expires_at > now]
-            self._set_shares(holder, live)
-            if not live and holder.heard_at + self._lifetime_s <= now:
-                self._total_demand -= holder.demand
-                del self._holders[key]
-        if not self._holders:
-            # Rounding errors of the sums end here.
-            self._total_rate = self._total_burst = self._total_demand = 0.0
-
-    def _set_shares(self, holder, shares):
-        """Replace a holder's shares; the sums spare a pass over all."""
-        self._total_rate -= holder.rate
-        self._total_burst -= holder.burst
-        holder.shares = shares
-        self._total_rate += holder.rate
-        self._total_burst += holder.burst
+        self._shares.expire(now)
 
     def _earn(self, until):
         elapsed = max(0.0, until - self._refilled_at)
@@ -220,7 +146,7 @@
             return None
         return request.grant if request.allocator == self.name else _ADOPTED
 
-    def _adopt(self, holder, request, now):
+    def _adopt(self, key, holder, request, now):
         """Take over a share that an earlier allocator granted.
 
         The earlier allocator has stopped, so the share is the last one that
@@ -235,10 +161,14 @@
         self._unknown_rate = max(0.0, self._unknown_rate - request.rate)
         self._unknown_burst = max(0.0, self._unknown_burst - request.burst)
         expires_at = now + self._lifetime_s
-        share = _Share(_ADOPTED, request.rate, request.burst, 0.0, expires_at)
-        self._set_shares(holder, [share])
+        self._shares.add(
+            key,
+            _shares.Share(
+                _ADOPTED, request.rate, request.burst, 0.0, expires_at
+            ),
+        )
 
-    def _grant(self, holder, request, now):
+    def _grant(self, key, holder, request, now):
         other_rate = self.leased_rate - holder.rate
         other_burst = self.leased_burst - holder.burst
         burst = min(
@@ -254,10 +184,9 @@
         tokens = self._choose_tokens(holder, request, burst)
         self._numbers += 1
         expires_at = now + self._lifetime_s
-        share = _Share(self._numbers, rate, burst, tokens, expires_at)
-        self._set_shares(holder, [*holder.shares, share])
-        key = (request.holder, request.boot)
-        self._expiries.append((expires_at, key))
+        self._shares.add(
+            key, _shares.Share(self._numbers, rate, burst, tokens, expires_at)
+        )
         self._level -= tokens
         self._clip_level()
         return _messages.Grant(
@@ -280,12 +209,12 @@
         return max(0.0, min(tokens, self._level, burst))
 
     def _choose_rate(self, holder):
-        wanted = self._total_demand * RATE_HEADROOM
+        wanted = self._shares.demand * RATE_HEADROOM
         scale = min(1.0, self._rate / wanted) if wanted > 0 else 0.0
         return holder.demand * RATE_HEADROOM * scale
 
     def _choose_burst(self, holder, request):
-        total = self._total_demand
+        total = self._shares.demand
         if total <= 0:
             return min(request.wanted, self._burst)
         part = self._burst * SHARED_BURST * holder.demand / total
