--- a/libs/link/tests/test_node.py
+++ b/libs/link/tests/test_node.py
@@ -8,10 +8,26 @@
 from returns import result
 
 import cactusloft_link as link_lib
+from cactusloft_link import _listener
 from cactusloft_link import _node
 from cactusloft_model import clock
 
 FAR = 10.0
+# A request of class 1 whose body shall have 5 bytes, up to the body.
+HEADER = bytes((1, 1, 0, 1)) + bytes(31) + b'\x05'
+HEADER_BYTES = 36
+# Another version, an unknown class, and bodies that are missing, short, no
+# MessagePack, or of another class.
+MALFORMED = (
+    [b'x'],
+    [b'\xff' * HEADER_BYTES],
+    [b'\x01' * HEADER_BYTES],
+    [HEADER],
+    [HEADER + b'abc'],
+    [HEADER + b'\xc1\xc1\xc1\xc1\xc1'],
+    [HEADER + b'\x94\x01\x01\x01\x01'],
+    [HEADER, b'', b''],
+)
 
 
 @attrs.frozen
@@ -142,6 +158,29 @@
     assert run(tmp_path, scenario)
 
 
+def test_peer_that_vanishes_ends_its_streams(tmp_path, monkeypatch):
+    """A slot would stay taken, and the shutdown would wait, without end."""
+    monkeypatch.setattr(_listener, 'CONNECTION_SILENCE_S', 0.2)
+
+    async def scenario(server, client, link, address):
+        ended = asyncio.Event()
+
+        async def serve(stream, frame):
+            try:
+                await stream.wait_closed()
+            finally:
+                ended.set()
+
+        server.handle_streams(Ask, serve)
+        link.open_stream(Ask('x'))
+        await asyncio.sleep(0.05)
+        client.close()
+        await asyncio.wait_for(ended.wait(), FAR)
+        return True
+
+    assert run(tmp_path, scenario)
+
+
 def test_lost_peer_ends_requests_and_streams(tmp_path):
     """A request to a process that died must not wait for its timeout."""
 
@@ -191,8 +230,8 @@
             return message
 
         server.handle_requests(Ask, answer)
-        for parts in ([b'x'], [b'\xff' * 32, b'', b''], [b'', b'\xc1', b'']):
-            link._socket.send(parts)
+        for content in MALFORMED:
+            link._socket.send(content)
         return await link.request(Ask('a'), FAR)
 
     assert run(tmp_path, scenario).unwrap().text == 'a'
