Report registrations with the watch and exchange differences

Every daemon registered with every control host once a second and got the members of its services from each of them, whether or not they had changed.

A daemon reports to the control host that it watches and gets the members as a table of the watch, sent only when it changed. A change of state ends the open poll, so it is reported at once; a daemon that shuts down waits until its home took the report. Control hosts send each other the changes of their home tables. Sending all leases to the other control hosts once a second was excluded: it costs each of them 18,000 registrations a second.

The launcher of the failure tests waits for a daemon that does not listen yet instead of failing on its empty status.

--- a/daemon/src/cactusloftd/_marks.py
+++ b/daemon/src/cactusloftd/_marks.py
@@ -30,8 +30,8 @@
 
     :param name: name of this daemon.
     :param members: :class:`_members.Members`.
-    :param registrations: :class:`_members.RegistrationServer` of this daemon,
-        empty unless it is a control host.
+    :param registrations: :class:`_registrations.RegistrationServer` of this
+        daemon, empty unless it is a control host.
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
     """
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -1,55 +1,24 @@
-"""Registration with the control hosts, and the members they know."""
+"""Report to the home of this daemon, and the members that it knows."""
 
 import asyncio
 
+import msgspec
+
 import cactusloft_link as link
-from cactusloft_membership import registry
 from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloftd import _messages
 from cactusloftd import _peers
 
-REGISTER_INTERVAL_S = 1.0
-REGISTER_TIMEOUT_S = 1.0
+LOOKUP_TIMEOUT_S = 1.0
+# A daemon that shuts down waits this long until its report was taken.
+REPORT_TIMEOUT_S = 1.0
 # The first call to a service waits this long for its members.
 FIRST_USE_WAIT_S = 1.0
-# Bounds the requests for members of a service that has none.
-ASK_INTERVAL_S = 0.2
 # Levels of pressure, from everything to nothing admitted.
 PRESSURE_LEVELS = len(calls.Priority)
 
 
-class RegistrationServer:
-    """Answer registrations at a control host.
-
-    :param held: :class:`registry.Registry`.
-    :param now: function that returns monotonic seconds.
-    """
-
-    def __init__(self, held, now):
-        self._held = held
-        self._now = now
-
-    async def register(self, message, age_s):
-        """Take a registration and return the members that it asks for."""
-        lifetime_s = registry.REGISTRATION_LEASE_S - age_s
-        now = self._now()
-        self._held.expire(now)
-        self._held.register(message.registration, now, lifetime_s)
-        members = self._held.list_members(message.services, now)
-        return _messages.Registrations(tuple(members))
-
-    async def look_up(self, message, _age_s):
-        """Return the registration of one daemon, or all without a name."""
-        name = message.name
-        found = (m for m in self.list_all() if name in ('', m.name))
-        return _messages.Registrations(tuple(found))
-
-    def list_all(self):
-        """Return all live registrations."""
-        return self._held.list_all(self._now())
-
-
 class Members:
     """This daemon's view of the members of the services that it uses.
 
@@ -58,6 +27,8 @@
     :param describe: function that returns this daemon's ``Registration``.
     :param view: :class:`cactusloft_membership.choice.View`.
     :param now: function that returns monotonic seconds.
+
+    :ivar on_report_due: function called when a report must not wait.
     """
 
     def __init__(self, node, control_hosts, describe, view, now):
@@ -66,33 +37,66 @@
         self._describe = describe
         self._view = view
         self._now = now
-        self._asking = None
-        self._asked_at = 0.0
+        self._answered = set()
+        self._is_answered = asyncio.Event()
+        self._reported = 0
+        self._acknowledged = 0
+        self.on_report_due = lambda: None
 
     def list_members(self):
         """Return the registrations of the services in use."""
         return self._view.list_members()
 
     async def prepare(self, service):
-        """Ask for the members of ``service`` when none are known.
+        """Ask for the members of ``service`` when they were never asked for.
 
         Calls that come meanwhile wait for the answer, at most
         ``FIRST_USE_WAIT_S``.
         """
-        now = self._now()
-        is_new = self._view.note_use(service, now)
-        if not is_new and self._view.find_chooser(service).members:
-            return
-        is_due = is_new or now - self._asked_at > ASK_INTERVAL_S
-        if self._asking is None and is_due:
-            self._asked_at = now
-            self._asking = asyncio.ensure_future(self.register_once())
-            self._asking.add_done_callback(self._note_asked)
-        if self._asking is not None:
-            await asyncio.wait([self._asking], timeout=FIRST_USE_WAIT_S)
+        if self._view.note_use(service, self._now()):
+            self.on_report_due()
+        await self._wait_until(
+            lambda: service in self._answered, FIRST_USE_WAIT_S
+        )
+
+    async def report_now(self):
+        """Report a change of state and wait until the home took it."""
+        before = self._reported
+        self.on_report_due()
+        await self._wait_until(
+            lambda: self._acknowledged > before, REPORT_TIMEOUT_S
+        )
 
-    def _note_asked(self, _task):
-        self._asking = None
+    def make_report(self):
+        """Return the report to the home of this daemon."""
+        services = tuple(self._view.list_services(self._now()))
+        self._answered.intersection_update(services)
+        registration = self._describe()
+        self._reported = registration.sequence
+        report = _messages.MembersReport(registration, services)
+        return msgspec.msgpack.encode(report)
+
+    def take_table(self, content):
+        """Take the members of the services in use."""
+        table = msgspec.msgpack.decode(content, type=_messages.MembersTable)
+        self._view.update(table.services, table.members, self._now())
+        self._answered.update(table.services)
+        self._acknowledged = max(self._acknowledged, table.sequence)
+        self._is_answered.set()
+        self._is_answered = asyncio.Event()
+        for member in self._view.list_members():
+            # Connecting takes longer than a call may wait for it.
+            self.connect(member)
+
+    async def _wait_until(self, is_true, timeout_s):
+        """Wait for a condition that an answer brings."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not is_true():
+                    await self._is_answered.wait()
+        except TimeoutError:
+            # The home is silent; the last known members serve on.
+            return
 
     async def resolve(self, name):
         """Return the registration of any daemon of the fleet, or None."""
@@ -101,7 +105,7 @@
             return known
         message = _messages.Lookup(name)
         for peer in self.list_control_links():
-            reply = await peer.request(message, REGISTER_TIMEOUT_S)
+            reply = await peer.request(message, LOOKUP_TIMEOUT_S)
             answer = reply.value_or(None)
             if answer is not None and answer.members:
                 return answer.members[0]
@@ -112,9 +116,12 @@
         found = {}
         message = _messages.Lookup('')
         for peer in self.list_control_links():
-            reply = await peer.request(message, REGISTER_TIMEOUT_S)
+            reply = await peer.request(message, LOOKUP_TIMEOUT_S)
             answer = reply.value_or(_messages.Registrations(()))
-            found.update((m.name, m) for m in answer.members)
+            for member in answer.members:
+                known = found.get(member.name)
+                if known is None or known.position < member.position:
+                    found[member.name] = member
         return list(found.values())
 
     def list_control_links(self):
@@ -143,29 +150,6 @@
         address = link.PeerAddress(member.peers, member.public_key)
         return self._node.connect(address)
 
-    async def register_once(self):
-        """Register with every control host and merge their answers."""
-        services = self._view.list_services(self._now())
-        message = _messages.Register(self._describe(), tuple(services))
-        links = self.list_control_links()
-        replies = await asyncio.gather(
-            *(peer.request(message, REGISTER_TIMEOUT_S) for peer in links)
-        )
-        answers = [reply.value_or(None) for reply in replies]
-        if not any(answers):
-            # The last known members serve on while no control host answers.
-            return
-        merged = {}
-        for answer in filter(None, answers):
-            for member in answer.members:
-                known = merged.get(member.name)
-                if known is None or known.position < member.position:
-                    merged[member.name] = member
-        self._view.update(services, merged.values(), self._now())
-        for member in self._view.list_members():
-            # Connecting takes longer than a call may wait for it.
-            self.connect(member)
-
 
 class _MemberRunner:
     """Run calls on a member and keep count of those in flight."""
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -6,6 +6,7 @@
 import attrs
 
 import cactusloft_link as link
+from cactusloft_membership import exchange
 from cactusloft_membership import registry
 from cactusloft_model import calls
 from cactusloft_model import document
@@ -124,8 +125,8 @@
 
 
 @attrs.frozen
-class Register:
-    """A daemon's registration with a control host.
+class MembersReport:
+    """A daemon's report on the table of members.
 
     :ivar services: services whose members the daemon asks for.
     """
@@ -134,9 +135,22 @@
     services: tuple[str, ...]
 
 
+@attrs.frozen
+class MembersTable:
+    """Content of the table of members.
+
+    :ivar sequence: sequence of the last registration taken.
+    :ivar services: services that were asked for.
+    """
+
+    sequence: int
+    services: tuple[str, ...]
+    members: tuple[registry.Registration, ...]
+
+
 @attrs.frozen
 class Registrations:
-    """Members of the services that were asked for."""
+    """Reply to :class:`Lookup`."""
 
     members: tuple[registry.Registration, ...]
 
@@ -322,7 +336,6 @@
         2: BodyChunk,
         3: AnswerStart,
         4: Refusal,
-        10: Register,
         11: Registrations,
         20: ReplicaMessage,
         21: Taken,
@@ -334,6 +347,8 @@
         27: ControlAnswer,
         28: ShowRequest,
         12: Lookup,
+        13: exchange.HomeNews,
+        14: exchange.HomeReceipt,
         30: RetryCreditRequest,
         31: RetryCredit,
         32: MarkNews,
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -58,6 +58,8 @@
         self._on_change = on_change
         self._tables = {}
         self._known = {}
+        self._woken = asyncio.Event()
+        self._has_fixed_document = bool(settings.document_file)
         self._hosts = _order_hosts(settings, random_source)
         self._is_relay = any(
             host.name == settings.name for host in settings.control_hosts
@@ -73,6 +75,10 @@
         """
         self._tables[name] = (make_report, take)
 
+    def wake(self):
+        """Report at once and not with the next poll."""
+        self._woken.set()
+
     async def run(self):
         """Watch until cancelled."""
         while True:
@@ -109,6 +115,7 @@
         peer = self._node.connect(host.address)
         if not await peer.wait_until_up(CONNECT_WAIT_S):
             return False
+        self._woken.clear()
         hold_s = RELAY_HOLD_S if self._is_relay else HOLD_S
         watch = _messages.Watch(
             daemon=self._name,
@@ -122,7 +129,9 @@
         base = self._installed.current
         # Taken before sending: the true confirmation is not earlier.
         sent_at = self._now()
-        reply = await peer.request(watch, hold_s + ANSWER_MARGIN_S)
+        reply = await self._request(peer, watch, hold_s + ANSWER_MARGIN_S)
+        if reply is None:
+            return True
         if not pipeline.is_successful(reply):
             self._log.record(_V.CONTROL_HOST_SILENT, control_host=host.name)
             return False
@@ -135,6 +144,19 @@
             await asyncio.sleep(RETRY_PAUSE_S)
         return is_useful
 
+    async def _request(self, peer, watch, timeout_s):
+        """Return the reply, or None when a new report is due."""
+        request = asyncio.ensure_future(peer.request(watch, timeout_s))
+        woken = asyncio.ensure_future(self._woken.wait())
+        try:
+            await asyncio.wait(
+                {request, woken}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return request.result() if request.done() else None
+        finally:
+            request.cancel()
+            woken.cancel()
+
     def _list_reports(self):
         for name, (make_report, _) in self._tables.items():
             known = self._known.get(name, 0)
@@ -145,7 +167,8 @@
             self._known[table.name] = table.version
             self._tables[table.name][1](table.content)
         if answer.age_s is None:
-            return False
+            # With a fixed document there is nothing to confirm.
+            return self._has_fixed_document
         # Relays of relays could pass on their own confirmations in a circle.
         if self._is_relay and answer.relays > 0:
             return False
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -12,6 +12,7 @@
 
 import cactusloft_link as link
 from cactusloft_membership import choice
+from cactusloft_membership import exchange
 from cactusloft_membership import registry
 from cactusloft_model import clock
 from cactusloft_model import events
@@ -30,9 +31,11 @@
 from cactusloftd import _metrics
 from cactusloftd import _owner
 from cactusloftd import _peers
+from cactusloftd import _registrations
 from cactusloftd import _retries
 
 SHUTDOWN_POLL_S = 0.02
+REPORT_INTERVAL_S = 1.0
 _V = events.Event
 _LINK_EVENTS = {
     'peer_refused': _V.PEER_REFUSED,
@@ -74,12 +77,12 @@
             choice.View(settings.name, settings.data_centre, random.Random()),
             now,
         )
-        self._registrations = _members.RegistrationServer(
-            registry.Registry(), now
-        )
         self._plane = _control_plane.ControlPlane(
             settings, self._node, self._log, now, self._members
         )
+        self._registrations = _registrations.RegistrationServer(
+            settings, self._incarnation, self._node, self._plane.installed, now
+        )
         config = _choose_config(settings, self._plane)
         self._guards = self._make_guards(config, now)
         self._owner = _owner.Owner(
@@ -88,6 +91,8 @@
         self._admin = self._plane.make_admin(self._owner)
         self._is_changed = asyncio.Event()
         self._owner.on_change = self._is_changed.set
+        self._members.on_report_due = self._is_changed.set
+        self._attach_members()
         self._entry = _entry.Entry(
             settings.name,
             config,
@@ -102,6 +107,29 @@
         self._call_server = _peers.CallServer(self._owner, now)
         self._observe()
 
+    def _attach_members(self):
+        """Exchange members with this daemon's home, or with itself."""
+        settings = self._settings
+        control_hosts = {host.name for host in settings.control_hosts}
+        self._is_control_host = (
+            bool(settings.data_folder) or settings.name in control_hosts
+        )
+        self._registrations.on_change = self._note_members
+        if self._is_control_host:
+            self._plane.server.attach(
+                _registrations.TABLE, self._registrations
+            )
+        else:
+            self._plane.watcher.attach(
+                _registrations.TABLE,
+                self._members.make_report,
+                self._members.take_table,
+            )
+
+    def _note_members(self):
+        self._plane.server.notify()
+        self._is_changed.set()
+
     def _make_guards(self, config, now):
         name, members, log = self._settings.name, self._members, self._log
         return _guards.Guards(
@@ -118,6 +146,8 @@
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._guards.marks.run()),
         ]
+        if self._is_control_host:
+            tasks.append(asyncio.create_task(self._registrations.run()))
         await stop.wait()
         self._log.record(_V.DAEMON_STOPPING)
         await self._shut_down()
@@ -130,7 +160,7 @@
         listeners = self._settings.listeners
         self._node.handle_streams(_messages.CallStart, self._call_server.serve)
         self._node.handle_requests(
-            _messages.Register, self._registrations.register
+            exchange.HomeNews, self._registrations.take_news
         )
         self._node.handle_requests(
             _messages.Lookup, self._registrations.look_up
@@ -186,23 +216,42 @@
     async def _shut_down(self):
         """Take no new work and wait for what is in progress."""
         self._exchanges.is_closing = True
-        self._owner.drain()
-        await self._members.register_once()
+        if self._owner.is_serving:
+            self._owner.drain()
+            await self._members.report_now()
         limit = time.monotonic() + self._settings.shutdown_grace_s
         while time.monotonic() < limit and self._is_busy():
             await asyncio.sleep(SHUTDOWN_POLL_S)
 
     async def _keep_registered(self):
+        known = 0
         while True:
-            self._owner.expire()
+            has_changed = self._is_changed.is_set()
             self._is_changed.clear()
-            await self._members.register_once()
+            if self._is_control_host:
+                known = self._report_locally(known)
+            elif has_changed:
+                self._plane.watcher.wake()
+            self._owner.expire()
             try:
-                async with asyncio.timeout(_members.REGISTER_INTERVAL_S):
+                async with asyncio.timeout(REPORT_INTERVAL_S):
                     await self._is_changed.wait()
             except TimeoutError:
                 continue
 
+    def _report_locally(self, known):
+        """Exchange members as at another home; return the version held."""
+        table = self._registrations.exchange(
+            self._settings.name,
+            _messages.TableRequest(
+                _registrations.TABLE, known, self._members.make_report()
+            ),
+        )
+        if table is None:
+            return known
+        self._members.take_table(table.content)
+        return table.version
+
     def _is_busy(self):
         return self._exchanges.count > 0 or self._owner.in_flight > 0
 
--- a/daemon/tests/conftest.py
+++ b/daemon/tests/conftest.py
@@ -60,6 +60,9 @@
             self._process.wait()
             self._process = None
 
+    def stop(self):
+        self._process.terminate()
+
     def wait(self):
         code = self._process.wait(WAIT_S)
         self._process = None
@@ -107,9 +110,13 @@
 
 
 class Fleet:
-    """Control replicas, relays and plain daemons of one test."""
+    """Control replicas, relays and plain daemons of one test.
+
+    Plain daemons know all relays, or those that ``watched`` names for them.
+    """
 
-    def __init__(self, folder, replicas, relays=(), plain=()):
+    def __init__(self, folder, replicas, relays=(), plain=(), watched=()):
+        watched = dict(watched)
         self._folder = folder
         self.replicas = [self._make(name) for name in replicas]
         self.relays = [self._make(name) for name in relays]
@@ -124,7 +131,12 @@
         for process in self.relays:
             self._write(process, control_hosts, '')
         for process in self.plain:
-            self._write(process, self.relays or control_hosts, '')
+            known = [
+                relay
+                for relay in self.relays or control_hosts
+                if relay.name in watched.get(process.name, [relay.name])
+            ]
+            self._write(process, known, '')
 
     def start(self):
         for process in self.all:
@@ -137,7 +149,9 @@
             assert process.ask('POST', '/v1/replica/add')[0] == 200
             replica_id = process.read_status()['replica_id']
             wait_until(lambda: self._is_voter(replica_id))
-        wait_until(lambda: all(p.read_status()['is_fresh'] for p in self.all))
+        wait_until(
+            lambda: all(p.read_status().get('is_fresh') for p in self.all)
+        )
 
     def find_leader(self):
         for process in self.replicas:
--- /dev/null
+++ b/daemon/tests/test_membership_failures.py
@@ -0,0 +1,182 @@
+"""Failure tests of the way of registrations with real daemon processes."""
+
+import contextlib
+import http.client
+import http.server
+import json
+import threading
+import time
+
+import pytest
+
+ANNOUNCE_INTERVAL_S = 0.5
+# Longer than a member that refused is left out of the choice.
+AVOIDED_S = 1.2
+
+DOCUMENT = """
+[service booking]
+
+[route book]
+service = booking
+method = GET
+path = /bookings
+idempotent = yes
+access = open
+"""
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+
+    def do_GET(self):
+        self.send_response(200)
+        self.send_header('Content-Length', '0')
+        self.end_headers()
+
+    def log_message(self, *_args):
+        return
+
+
+class _BackendServer:
+    """A backend server beside a daemon, with renewed announcements."""
+
+    def __init__(self, process):
+        self._process = process
+        self._server = http.server.ThreadingHTTPServer(
+            ('127.0.0.1', 0), _Handler
+        )
+        self._stopping = threading.Event()
+        self.instance = 'first'
+        for task in (self._server.serve_forever, self._announce):
+            threading.Thread(target=task, daemon=True).start()
+
+    def post(self, path, body=None):
+        connection = http.client.HTTPConnection(
+            '127.0.0.1', self._process.ports['backend'], timeout=15
+        )
+        with contextlib.closing(connection):
+            connection.request('POST', path, json.dumps(body))
+            connection.getresponse().read()
+
+    def close(self):
+        self._stopping.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _announce(self):
+        while not self._stopping.wait(ANNOUNCE_INTERVAL_S):
+            announcement = {
+                'service': 'booking',
+                'instance': self.instance,
+                'url': f'http://127.0.0.1:{self._server.server_port}',
+                'slots': 4,
+                'connections': 8,
+            }
+            with contextlib.suppress(OSError):
+                self.post('/v1/announce', announcement)
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(process):
+        servers.append(_BackendServer(process))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def _call(process):
+    connection = http.client.HTTPConnection(
+        '127.0.0.1', process.ports['callers'], timeout=15
+    )
+    with contextlib.closing(connection):
+        connection.request('GET', '/bookings')
+        response = connection.getresponse()
+        response.read()
+        return response.status
+
+
+def _count_dispatched(process):
+    _, answer = process.ask('GET', '/v1/events')
+    return json.dumps(answer).lower().count('call_dispatched')
+
+
+def _knows_no_member(process):
+    """Tell whether calls find no member, rather than one that refuses."""
+    before = _count_dispatched(process)
+    for _ in range(2):
+        assert _call(process) in (200, 503)
+        time.sleep(AVOIDED_S)
+    return _count_dispatched(process) == before
+
+
+def test_drain_is_known_behind_another_control_host(make_fleet, wait, serve):
+    """A drained server would get work from daemons of other homes."""
+    fleet = make_fleet(
+        ['c1'],
+        relays=['r1', 'r2'],
+        plain=['d1', 'd2'],
+        watched={'d1': ['r1'], 'd2': ['r2']},
+    )
+    owner, entry = fleet.plain
+    assert fleet.replicas[0].apply(0, 'first', DOCUMENT)[0] == 200
+    server = serve(owner)
+    wait(lambda: _call(entry) == 200)
+    server.post('/v1/drain')
+    wait(lambda: _knows_no_member(entry))
+    server.instance = 'second'
+    wait(lambda: _call(entry) == 200)
+
+
+@pytest.mark.parametrize('fault', ['kill', 'freeze'])
+def test_members_are_current_without_a_control_host(
+    make_fleet, wait, serve, fault
+):
+    """A lost control host must not keep its daemons' members back.
+
+    Each relay is lost in turn, so one of them is the one in use.
+    """
+    fleet = make_fleet(['c1'], relays=['r1', 'r2'], plain=['d1', 'd2'])
+    owner, entry = fleet.plain
+    assert fleet.replicas[0].apply(0, 'first', DOCUMENT)[0] == 200
+    server = serve(owner)
+    wait(lambda: _call(entry) == 200)
+    for relay in fleet.relays:
+        getattr(relay, fault)()
+        wait(lambda: _call(entry) == 200)
+        server.post('/v1/drain')
+        wait(lambda: _knows_no_member(entry))
+        server.instance = f'after {relay.name}'
+        wait(lambda: _call(entry) == 200)
+        relay.start() if fault == 'kill' else relay.resume()
+        wait(lambda: relay.read_status().get('is_fresh'))
+
+
+def test_stopping_daemon_is_known_before_it_ends(make_fleet, wait, serve):
+    """Calls would be sent to a daemon that is about to stop."""
+    fleet = make_fleet(
+        ['c1'],
+        relays=['r1', 'r2'],
+        plain=['d1', 'd2'],
+        watched={'d1': ['r1'], 'd2': ['r2']},
+    )
+    owner, entry = fleet.plain
+    assert fleet.replicas[0].apply(0, 'first', DOCUMENT)[0] == 200
+    serve(owner)
+    wait(lambda: _call(entry) == 200)
+    owner.stop()
+    # The registration of an ended daemon lapses after 3 s; this one is shown
+    # as not serving by then.
+    seen = []
+
+    def is_shown_as_stopping():
+        _, members = entry.ask('GET', '/v1/members')
+        seen.extend(m for m in members if m['name'] == owner.name)
+        return any(not member['is_serving'] for member in seen)
+
+    wait(is_shown_as_stopping)
+    assert owner.wait() == 0
--- a/libs/membership/src/cactusloft_membership/_registry.py
+++ b/libs/membership/src/cactusloft_membership/_registry.py
@@ -58,6 +58,7 @@
     ``find_revision`` changes with every change of the members of a service,
     so that a watch can wait for it.
 
+    :ivar changes: number of changes of any member so far.
     :ivar on_own_change: function called with the name of a daemon that came
         to this home, changed or left it.
     """
@@ -70,6 +71,7 @@
         self._queue = []
         self._by_home = collections.defaultdict(dict)
         self._revisions = collections.Counter()
+        self.changes = 0
         self.on_own_change = lambda name: None
 
     def register(
@@ -255,5 +257,6 @@
                 del self._entries[name]
 
     def _note_change(self, *registrations):
+        self.changes += 1
         for service in {r.service for r in registrations}:
             self._revisions[service] += 1
