--- a/daemon/src/cactusloftd/_admin.py
+++ b/daemon/src/cactusloftd/_admin.py
@@ -4,6 +4,7 @@
 errors are problem documents.
 """
 
+import asyncio
 import hmac
 
 from aiohttp import web
@@ -19,6 +20,7 @@
 from cactusloftd import _calls
 from cactusloftd import _http
 from cactusloftd import _messages
+from cactusloftd import _metrics
 from cactusloftd import _problems
 
 _E = errors.ErrorKind
@@ -83,22 +85,36 @@
     :param installed: :class:`_installed.Installed`.
     :param operators: :class:`_operators.Operators`.
     :param control: :class:`_control.Control`, or None.
+    :param parser: :class:`_texts.TextParser`.
     :param members: :class:`_members.Members`.
     :param owner: :class:`_owner.Owner`.
     :param log: :class:`events.EventLog`.
+    :param metrics: :class:`_metrics.Metrics`.
     """
 
     def __init__(
-        self, settings, installed, operators, control, members, owner, log
+        self,
+        settings,
+        installed,
+        operators,
+        control,
+        parser,
+        members,
+        owner,
+        log,
+        metrics,
     ):
         self._settings = settings
         self._installed = installed
         self._operators = operators
         self._control = control
+        self._parser = parser
         self._members = members
         self._owner = owner
         self._log = log
+        self._metrics = metrics
         self._actions = {
+            ('GET', '/metrics'): self._show_metrics,
             ('GET', '/v1/document'): self._show,
             ('POST', '/v1/document'): self._apply,
             ('GET', '/v1/history'): self._show_history,
@@ -139,7 +155,7 @@
         change = body.unwrap()
         if not 0 < len(change.change_id) <= MAX_CHANGE_ID:
             return _refuse(_E.BAD_REQUEST, 'change_id has 1 to 128 characters')
-        parsed = document.parse_document(change.text)
+        parsed = await asyncio.to_thread(self._parser.parse, change.text)
         if not pipeline.is_successful(parsed):
             return _refuse_document(parsed.failure())
         return await self._decide(
@@ -208,6 +224,13 @@
             return _refuse(_E.BAD_REQUEST, 'wall_ms and counter are numbers')
         return _answer(self._log.list_records(since))
 
+    async def _show_metrics(self, _request):
+        """Serve the scrape of Prometheus."""
+        return web.Response(
+            body=self._metrics.render(),
+            headers={'Content-Type': _metrics.CONTENT_TYPE},
+        )
+
     async def _drain(self, _request):
         self._owner.drain()
         return web.Response(status=204)
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -16,12 +16,15 @@
 from cactusloft_membership import registry
 from cactusloft_model import clock
 from cactusloft_model import events
+import cactusloft_quota as quota
+from cactusloftd import _accounts
 from cactusloftd import _backend
 from cactusloftd import _callers
 from cactusloftd import _config
 from cactusloftd import _control_plane
 from cactusloftd import _entry
 from cactusloftd import _flow
+from cactusloftd import _group
 from cactusloftd import _guards
 from cactusloftd import _http
 from cactusloftd import _http_server
@@ -31,7 +34,9 @@
 from cactusloftd import _metrics
 from cactusloftd import _owner
 from cactusloftd import _peers
+from cactusloftd import _rates
 from cactusloftd import _registrations
+from cactusloftd import _reservations
 from cactusloftd import _retries
 
 SHUTDOWN_POLL_S = 0.02
@@ -88,7 +93,7 @@
         self._owner = _owner.Owner(
             config, self._guards, self._log, self._metrics, now
         )
-        self._admin = self._plane.make_admin(self._owner)
+        self._admin = self._plane.make_admin(self._owner, self._metrics)
         self._is_changed = asyncio.Event()
         self._owner.on_change = self._is_changed.set
         self._members.on_report_due = self._is_changed.set
@@ -99,6 +104,7 @@
             self._owner,
             self._members,
             self._guards,
+            self._make_accounts(config, now),
             self._log,
             now,
         )
@@ -138,6 +144,22 @@
             _retries.Retries(name, config, members, log, now),
         )
 
+    def _make_accounts(self, config, now):
+        settings, log, node = self._settings, self._log, self._node
+        view = _group.GroupView(self._plane.replica)
+        self._plane.attach(_group.TABLE, view)
+        self._allocators = _rates.Allocators(view, config, log, now)
+        boot = str(self._incarnation)
+        self._rates = _rates.Rates(
+            settings.name, boot, view, node, self._allocators, now
+        )
+        self._reservations = _reservations.Reservations(
+            settings, view, node, log, now
+        )
+        if settings.document_file:
+            return _accounts.NoAccounts()
+        return _accounts.Accounts(self._rates, self._reservations)
+
     async def run(self, stop):
         """Serve until the event ``stop`` is set, then shut down."""
         await self._start()
@@ -145,6 +167,8 @@
         tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._guards.marks.run()),
+            asyncio.create_task(self._allocators.run()),
+            asyncio.create_task(self._reservations.run_member()),
         ]
         if self._is_control_host:
             tasks.append(asyncio.create_task(self._registrations.run()))
@@ -166,6 +190,8 @@
             _messages.Lookup, self._registrations.look_up
         )
         self._guards.handle_messages(self._node)
+        self._node.handle_requests(quota.LeaseRequest, self._allocators.answer)
+        self._reservations.handle_messages()
         self._plane.start()
         self._node.listen(listeners.peers)
         callers = _callers.Callers(
@@ -186,12 +212,21 @@
         observe('cactusloft_queued_calls', self._read_queued)
         observe('cactusloft_concurrency_limit_calls', self._read_limit)
         observe('cactusloft_open_exchanges', lambda: exchanges.count)
+        installed = self._plane.installed
+        observe('cactusloft_document_version', self._read_version)
+        observe(
+            'cactusloft_confirmation_age_seconds',
+            lambda: installed.age_s if installed.confirmed_at else None,
+        )
         observe(
             'cactusloft_backend_server_lease',
             lambda: int(owner.announcement is not None),
         )
         self._metrics.observe('cactusloft_members', self._count_members)
 
+    def _read_version(self):
+        return self._plane.installed.version.number
+
     def _read_queued(self):
         admission = self._owner.admission
         return admission.queued if admission else None
@@ -253,11 +288,17 @@
         return table.version
 
     def _is_busy(self):
-        return self._exchanges.count > 0 or self._owner.in_flight > 0
+        counts = (
+            self._exchanges.count,
+            self._owner.in_flight,
+            self._reservations.open_calls,
+        )
+        return any(counts)
 
     async def _close(self):
         for runner in self._runners:
             await runner.cleanup()
+        self._rates.close()
         await self._owner.close()
         await self._plane.close()
         self._metrics.close()
