--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -7,6 +7,7 @@
 
 import cactusloft_ledger as ledger
 import cactusloft_link as link
+from cactusloft_membership import exchange
 from cactusloft_membership import registry
 from cactusloft_model import calls
 from cactusloft_model import document
@@ -126,8 +127,8 @@
 
 
 @attrs.frozen
-class Register:
-    """A daemon's registration with a control host.
+class MembersReport:
+    """A daemon's report on the table of members.
 
     :ivar services: services whose members the daemon asks for.
     """
@@ -136,9 +137,22 @@
     services: tuple[str, ...]
 
 
+@attrs.frozen
+class MembersTable:
+    """Content of the table of members.
+
+    :ivar sequence: sequence of the last registration taken.
+    :ivar services: services that were asked for.
+    """
+
+    sequence: int
+    services: tuple[str, ...]
+    members: tuple[registry.Registration, ...]
+
+
 @attrs.frozen
 class Registrations:
-    """Members of the services that were asked for."""
+    """Reply to :class:`Lookup`."""
 
     members: tuple[registry.Registration, ...]
 
@@ -344,7 +358,6 @@
         2: BodyChunk,
         3: AnswerStart,
         4: Refusal,
-        10: Register,
         11: Registrations,
         20: ReplicaMessage,
         21: Taken,
@@ -356,6 +369,8 @@
         27: ControlAnswer,
         28: ShowRequest,
         12: Lookup,
+        13: exchange.HomeNews,
+        14: exchange.HomeReceipt,
         30: RetryCreditRequest,
         31: RetryCredit,
         32: MarkNews,
