--- a/libs/quota/src/cactusloft_quota/_allocator.py
+++ b/libs/quota/src/cactusloft_quota/_allocator.py
@@ -35,9 +35,19 @@
     :param rate: tokens per second.
     :param burst: tokens.
     :param now: monotonic seconds.
+    :param lifetime_s: lifetime of grants.
     """
 
-    def __init__(self, name, client_account, rate, burst, now):
+    def __init__(
+        self,
+        name,
+        client_account,
+        rate,
+        burst,
+        now,
+        lifetime_s=_messages.LIFETIME_S,
+    ):
+        self._lifetime_s = lifetime_s
         self.name = name
         self._account = client_account
         self._rate = rate
@@ -50,7 +60,7 @@
         self._unknown_rate = rate
         self._unknown_burst = burst
         self._silent_until = now + SILENCE_S
-        self._unknown_until = now + SILENCE_S + _messages.LIFETIME_S
+        self._unknown_until = self._silent_until + lifetime_s
 
     @property
     def level(self):
@@ -150,7 +160,7 @@
             return
         self._unknown_rate = max(0.0, self._unknown_rate - request.rate)
         self._unknown_burst = max(0.0, self._unknown_burst - request.burst)
-        expires_at = now + _messages.LIFETIME_S
+        expires_at = now + self._lifetime_s
         self._shares.add(
             key,
             _shares.Share(
@@ -173,7 +183,7 @@
             burst = rate = 0.0
         tokens = self._choose_tokens(holder, request, burst)
         self._numbers += 1
-        expires_at = now + _messages.LIFETIME_S
+        expires_at = now + self._lifetime_s
         self._shares.add(
             key, _shares.Share(self._numbers, rate, burst, tokens, expires_at)
         )
