Claim 'not run' only when no attempt may have run

Found by reading: an idempotent call whose first attempt failed at the backend server is sent again, and when the second owner sheds it, the answer said not_run: true although the first attempt may have run. The owner's own refusal was excluded as cause: it is true for its attempt. The entry now withdraws the claim once any attempt was not certainly refused. The new test failed before (TRUE instead of UNKNOWN).

--- a/daemon/src/cactusloftd/_entry.py
+++ b/daemon/src/cactusloftd/_entry.py
@@ -202,6 +202,7 @@
     async def _try_owners(self, call):
         await self._members.prepare(call.context.service)
         tried = set()
+        may_have_run = False
         outcome = _calls.fail(_E.NO_BACKEND_SERVER)
         while len(tried) < MAX_OWNERS_TRIED:
             name, runner = self._choose_owner(call, tried)
@@ -214,10 +215,11 @@
             if pipeline.is_successful(outcome):
                 self._note_answer(call, outcome.unwrap())
                 break
+            may_have_run = may_have_run or not _is_not_run(outcome.failure())
             await self._mark_lost_owner(call, outcome.failure())
             if not await self._may_try_next(outcome.failure(), call):
                 break
-        return outcome
+        return outcome.alt(_withdraw_claim) if may_have_run else outcome
 
     def _note_answer(self, call, response):
         if response.status < 500:
@@ -233,8 +235,7 @@
 
     async def _may_try_next(self, error, call):
         """Tell whether another owner may get the call after ``error``."""
-        is_certain = error.answer.not_run is errors.NotRun.TRUE
-        if error.kind in _FREE_KINDS and is_certain:
+        if error.kind in _FREE_KINDS and _is_not_run(error):
             return call.context.deadline > self._now()
         if error.kind not in _RETRIED_KINDS:
             return False
@@ -265,6 +266,17 @@
         )
 
 
+def _is_not_run(error):
+    return error.answer.not_run is errors.NotRun.TRUE
+
+
+def _withdraw_claim(error):
+    """Return ``error`` for a call of which an earlier attempt may have run."""
+    if not _is_not_run(error):
+        return error
+    return attrs.evolve(error, not_run=errors.NotRun.UNKNOWN)
+
+
 def _make_call(context, inbound, body, route):
     return _calls.Call(
         context,
--- /dev/null
+++ b/daemon/tests/test_entry.py
@@ -0,0 +1,88 @@
+"""Tests of the attempts that an entry makes for a call."""
+
+import asyncio
+
+from cactusloft_model import calls
+from cactusloft_model import errors
+from cactusloftd import _calls
+from cactusloftd import _entry
+
+_E = errors.ErrorKind
+_TRUE, _UNKNOWN = errors.NotRun.TRUE, errors.NotRun.UNKNOWN
+
+
+class Runner:
+    """An owner that ends each call with one error."""
+
+    def __init__(self, error):
+        self._error = error
+
+    async def run(self, call):
+        return _calls.result.Failure(self._error)
+
+    def read_pressure(self, call):
+        return None
+
+
+class Parts:
+    """All parts around an entry; every retry is allowed."""
+
+    announcement = None
+
+    def __init__(self, failures):
+        self._runners = [Runner(error) for error in failures]
+        self.flow = self.marks = self.retries = self
+        self.events = []
+
+    async def prepare(self, service):
+        pass
+
+    def choose(self, service, excluded):
+        position = len(excluded) - 1
+        if position < len(self._runners):
+            return _Member(f'owner-{position}', self._runners[position])
+        return None
+
+    def make_runner(self, member):
+        return member.runner
+
+    async def may_resend(self, call, error):
+        return True
+
+    def receive(self, *args):
+        pass
+
+    def record(self, event, **fields):
+        self.events.append(event)
+
+
+class _Member:
+    def __init__(self, name, runner):
+        self.name, self.runner = name, runner
+
+
+def _run(failures):
+    parts = Parts(failures)
+    entry = _entry.Entry(
+        'entry', None, parts, parts, parts, None, parts, lambda: 0.0
+    )
+    context = calls.CallContext(
+        'c', 'c', '', 'entry', 'a', 's', calls.Priority.LOW, 9.0, 0, True, 'f'
+    )
+    call = _calls.Call(context, 'GET', '/', (), b'', 'r')
+    return asyncio.run(entry._try_owners(call)).failure()
+
+
+def test_not_run_is_not_claimed_after_an_attempt_that_may_have_run():
+    """A retry that is shed must not hide that the first attempt ran."""
+    failed = errors.CallError(_E.BACKEND_SERVER_FAILED)
+    shed = errors.CallError(_E.OVERLOADED)
+    assert _run([failed, shed]).answer.not_run is _UNKNOWN
+    assert _run([shed, failed]).answer.not_run is _UNKNOWN
+
+
+def test_not_run_is_claimed_when_every_attempt_was_refused():
+    """A caller may repeat a request that certainly did not run."""
+    shed = errors.CallError(_E.OVERLOADED)
+    unreachable = errors.CallError(_E.NO_BACKEND_SERVER)
+    assert _run([unreachable, shed]).answer.not_run is _TRUE
