--- a/libs/consensus/src/cactusloft_consensus/_elections.py
+++ b/libs/consensus/src/cactusloft_consensus/_elections.py
@@ -1,5 +1,7 @@
 """Follower side of the protocol: elections, appends and snapshots."""
 
+import abc
+
 from cactusloft_consensus import _messages
 from cactusloft_consensus import _roles
 
@@ -10,7 +12,7 @@
     """The group's state is inconsistent; the replica must stop."""
 
 
-class Elections:
+class Elections(abc.ABC):
     """Handlers of a replica that does not lead; base of ``Node``."""
 
     def _reset_election(self, now):
@@ -192,11 +194,13 @@
         )
         self._send_synced(sender, reply)
 
+    @abc.abstractmethod
     def _receive_append_reply(self, sender, reply, now):
-        raise NotImplementedError
+        """Handle a member's reply; the leader's side."""
 
+    @abc.abstractmethod
     def _take_lead(self, now):
-        raise NotImplementedError
+        """Become the leader after an election was won."""
 
     _HANDLERS = {
         _messages.PreVote: _receive_pre_vote,
