Wait for the link before asking a control host for members

Found with the quick start: the first 'cactusloft members' after a start listed nobody. The request was sent over a link that was just being made and failed at once; a lapsed registration was excluded, since the second call listed the daemon. The same held for the address of a root entry, so a first retry credit could be denied. Both tests failed before.

--- a/bench/src/cactusloft_bench/measures.py
+++ b/bench/src/cactusloft_bench/measures.py
@@ -282,6 +282,7 @@
     parser.add_argument('--runs', type=int, default=DEFAULT_RUNS)
     parser.add_argument('--seed', type=int, default=DEFAULT_SEED)
     parser.add_argument('--only', default='', help='part of a title')
+    parser.add_argument('--deployment', default='', help='part of a name')
     options = parser.parse_args(arguments)
     starts = {
         'with the layer': _deployments.start_layered,
@@ -289,6 +290,8 @@
     }
     print(f'seed {options.seed}, median of {options.runs} [least, most]')
     for deployment in (_deployments.SIAM, _deployments.HOOGHLY):
+        if options.deployment not in deployment.name:
+            continue
         print(f'\n{deployment.name}: {deployment.capacity:.0f} requests/s')
         print(f'{"measure":42} {"target":9} {"  ".join(starts)}')
         for scenario in SCENARIOS:
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -1,6 +1,7 @@
 """Report to the home of this daemon, and the members that it knows."""
 
 import asyncio
+import itertools
 
 import msgspec
 
@@ -11,6 +12,7 @@
 from cactusloftd import _peers
 
 LOOKUP_TIMEOUT_S = 1.0
+CONNECT_WAIT_S = 0.3
 # A daemon that shuts down waits this long until its report was taken.
 REPORT_TIMEOUT_S = 1.0
 # The first call to a service waits this long for its members.
@@ -119,23 +121,21 @@
             return known
         message = _messages.Lookup(name)
         for peer in self.list_control_links():
-            reply = await peer.request(message, LOOKUP_TIMEOUT_S)
-            answer = reply.value_or(None)
-            if answer is not None and answer.members:
-                return answer.members[0]
+            members = await _look_up(peer, message)
+            if members:
+                return members[0]
         return None
 
     async def list_fleet(self):
         """Return the registrations of all daemons."""
         found = {}
         message = _messages.Lookup('')
-        for peer in self.list_control_links():
-            reply = await peer.request(message, LOOKUP_TIMEOUT_S)
-            answer = reply.value_or(_messages.Registrations(()))
-            for member in answer.members:
-                known = found.get(member.name)
-                if known is None or known.position < member.position:
-                    found[member.name] = member
+        peers = self.list_control_links()
+        answers = await asyncio.gather(*(_look_up(p, message) for p in peers))
+        for member in itertools.chain.from_iterable(answers):
+            known = found.get(member.name)
+            if known is None or known.position < member.position:
+                found[member.name] = member
         return list(found.values())
 
     def list_control_links(self):
@@ -171,6 +171,15 @@
         return self._node.connect(address)
 
 
+async def _look_up(peer, message):
+    """Return the registrations that a control host knows."""
+    # A link that is just being made takes no request yet.
+    if not await peer.wait_until_up(CONNECT_WAIT_S):
+        return ()
+    reply = await peer.request(message, LOOKUP_TIMEOUT_S)
+    return reply.value_or(_messages.Registrations(())).members
+
+
 class _MemberRunner:
     """Run calls on a member and keep count of those in flight."""
 
--- /dev/null
+++ b/daemon/tests/test_members.py
@@ -0,0 +1,59 @@
+"""Tests of a daemon's questions about members."""
+
+import asyncio
+
+from returns import result
+
+import cactusloft_link as link
+from cactusloft_membership import registry
+from cactusloftd import _members
+from cactusloftd import _messages
+from cactusloftd import _settings
+
+FOUND = registry.Registration(
+    'd1', 1, 1, 'h1', 'dc1', '127.0.0.1:1', '127.0.0.1:2', 'k' * 40
+)
+
+
+class NewLink:
+    """A link that takes requests only once it was waited for."""
+
+    is_up = False
+
+    async def wait_until_up(self, timeout_s):
+        self.is_up = True
+        return True
+
+    async def request(self, message, timeout_s):
+        if not self.is_up:
+            lost = link.LinkError(link.LinkFailure.LOST)
+            return result.Failure(lost)
+        return result.Success(_messages.Registrations((FOUND,)))
+
+
+class Node:
+    """A node whose links are all new."""
+
+    def connect(self, address):
+        return NewLink()
+
+
+def make_members():
+    """Return members that ask one control host."""
+    host = _settings.ControlHost('c1', 'dc1', None)
+    return _members.Members(Node(), [host], None, _View(), lambda: 0.0)
+
+
+class _View:
+    def list_members(self):
+        return []
+
+
+def test_first_question_waits_for_the_link():
+    """The first list of members after a start was empty."""
+    assert asyncio.run(make_members().list_fleet()) == [FOUND]
+
+
+def test_first_resolution_waits_for_the_link():
+    """A first retry credit was denied because its address was not found."""
+    assert asyncio.run(make_members().resolve('d1')) == FOUND
