--- a/daemon/tests/test_membership_failures.py
+++ b/daemon/tests/test_membership_failures.py
@@ -115,14 +115,19 @@
     return int(found[1]) if found else 0
 
 
-def test_drain_is_known_behind_another_control_host(make_fleet, wait, serve):
-    """A drained server would get work from daemons of other homes."""
-    fleet = make_fleet(
+def _start_two_homes(make_fleet):
+    """Return a fleet of two daemons that watch different control hosts."""
+    return make_fleet(
         ['c1'],
         relays=['r1', 'r2'],
         plain=['d1', 'd2'],
         watched={'d1': ['r1'], 'd2': ['r2']},
     )
+
+
+def test_drain_is_known_behind_another_control_host(make_fleet, wait, serve):
+    """A drained server would get work from daemons of other homes."""
+    fleet = _start_two_homes(make_fleet)
     owner, entry = fleet.plain
     assert fleet.replicas[0].apply(0, 'first', DOCUMENT)[0] == 200
     server = serve(owner)
@@ -160,12 +165,7 @@
 
 def test_stopping_daemon_is_known_before_it_ends(make_fleet, wait, serve):
     """Calls would be sent to a daemon that is about to stop."""
-    fleet = make_fleet(
-        ['c1'],
-        relays=['r1', 'r2'],
-        plain=['d1', 'd2'],
-        watched={'d1': ['r1'], 'd2': ['r2']},
-    )
+    fleet = _start_two_homes(make_fleet)
     owner, entry = fleet.plain
     assert fleet.replicas[0].apply(0, 'first', DOCUMENT)[0] == 200
     serve(owner)
@@ -186,12 +186,7 @@
 
 def test_mark_is_known_behind_another_control_host(make_fleet, wait, serve):
     """A request that crashes servers would get on through other daemons."""
-    fleet = make_fleet(
-        ['c1'],
-        relays=['r1', 'r2'],
-        plain=['d1', 'd2'],
-        watched={'d1': ['r1'], 'd2': ['r2']},
-    )
+    fleet = _start_two_homes(make_fleet)
     owner, other = fleet.plain
     assert fleet.replicas[0].apply(0, 'first', DOCUMENT)[0] == 200
     serve(owner)
