--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -27,6 +27,11 @@
     :ivar route: name of the route in the document of the entry.
     :ivar idempotency_key: key of a root call that runs at most once, else
         empty.
+    :ivar host: name that the caller addressed.
+    :ivar caller_service: service of the backend server on whose host the call
+        began, empty when not known.
+    :ivar patience_s: seconds from its arrival after which its answer has lost
+        worth, 0 when not known.
     """
 
     context: calls.CallContext
@@ -36,6 +41,9 @@
     body: bytes
     route: str = ''
     idempotency_key: str = ''
+    host: str = ''
+    caller_service: str = ''
+    patience_s: float = 0.0
 
     @property
     def path(self):
@@ -89,10 +97,14 @@
     """Close a response that holds no resources."""
 
 
-def fail(kind, detail='', not_run=None):
+def fail(kind, detail='', not_run=None, retry_after_s=None):
     """Return the failure of a call.
 
     :param not_run: :class:`errors.NotRun` where more is known than the table
         of answers says.
+    :param retry_after_s: seconds after which another attempt may do better,
+        where more is known than the table says.
     """
-    return result.Failure(errors.CallError(kind, detail, not_run))
+    return result.Failure(
+        errors.CallError(kind, detail, not_run, retry_after_s)
+    )
--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -28,6 +28,8 @@
 # Operators' requests wait this long for a leader, which outlasts an election.
 LEADER_WAIT_S = 8.0
 LEADER_POLL_S = 0.2
+# Stands for the key in an address on plain links.
+NO_KEY = '-'
 _E = errors.ErrorKind
 _V = events.Event
 
@@ -61,10 +63,30 @@
     match: int | None
 
 
+@attrs.frozen
+class Address:
+    """Where a replica is reached, as the membership keeps it."""
+
+    daemon: str
+    endpoint: str
+    public_key: str
+
+    @classmethod
+    def parse(cls, text):
+        """Return the address in the text of a member."""
+        daemon, endpoint, key = text.split()
+        return cls(daemon, endpoint, '' if key == NO_KEY else key)
+
+    @property
+    def peer(self):
+        """Return its :class:`link.PeerAddress`."""
+        return link.PeerAddress(self.endpoint, self.public_key)
+
+
 def make_address(settings):
     """Return the address under which other replicas reach this daemon."""
-    public_key = settings.security.key_pair.public.decode()
-    return f'{settings.name} {settings.listeners.peers} {public_key}'
+    key = settings.security.public_key or NO_KEY
+    return f'{settings.name} {settings.listeners.peers} {key}'
 
 
 class Control:
@@ -74,31 +96,33 @@
     :param peer_node: :class:`link.Node`.
     :param log: :class:`events.EventLog`.
     :param parser: :class:`_texts.TextParser`.
+    :param now: function that returns monotonic seconds.
     :param on_change: function called when the document may have changed.
     :raises storage.StorageError: when the data folder cannot be used.
     """
 
-    def __init__(self, settings, peer_node, log, parser, on_change):
+    def __init__(self, settings, peer_node, log, parser, now, on_change):
         self._node = peer_node
         self._log = log
         self._parser = parser
         self._own_address = make_address(settings)
         self._addresses = {}
         self._decided_version = 0
+        self._least_voters = settings.least_voters
         files = storage.FolderFiles(settings.data_folder)
         opened, persisted = storage.open_storage(files, secrets.token_bytes)
         protocol = consensus_node.Node(
             persisted,
             consensus_node.Timing(),
             random.SystemRandom(),
-            time.monotonic(),
+            now(),
         )
         self.replica = consensus_replica.Replica(
             protocol,
             opened,
             documents.DocumentStore(),
             self._send,
-            time.monotonic,
+            now,
             on_change,
             self._report_failure,
         )
@@ -147,7 +171,7 @@
         leader = self.replica.leader
         if leader is None or leader.replica_id == self.replica.replica_id:
             return None
-        return _parse_address(leader.address)
+        return Address.parse(leader.address).peer
 
     async def decide(self, request):
         """Carry out an operator's request on the leader.
@@ -162,6 +186,7 @@
         if isinstance(request, _messages.ShowRequest):
             return make_answer(DocumentView(store.version, store.text))
         if request.address:
+            await self._remove_former(request)
             outcome = await self.replica.add_member(
                 request.replica_id, request.address, APPLY_TIMEOUT_S
             )
@@ -178,7 +203,28 @@
         )
         return make_answer(self.list_replicas())
 
+    async def _remove_former(self, request):
+        """Remove the replica that lost its data folder to a new one."""
+        endpoint = Address.parse(request.address).endpoint
+        for member in self.replica.members:
+            is_same = member.replica_id == request.replica_id
+            if is_same or Address.parse(member.address).endpoint != endpoint:
+                continue
+            await self.replica.remove_member(
+                member.replica_id, APPLY_TIMEOUT_S
+            )
+            self._log.record(
+                _V.REPLICAS_CHANGED,
+                replica_id=member.replica_id,
+                is_added=False,
+            )
+
     async def _apply(self, request):
+        if self._count_voters() < self._least_voters:
+            # A change on fewer disks could be lost with one of them.
+            detail = f'fewer than {self._least_voters} voters'
+            error = errors.CallError(_E.CONTROL_UNAVAILABLE, detail)
+            return refuse(error)
         # In a thread, since a new text may take longer than a leader may be
         # silent.
         parsed = await asyncio.to_thread(self._parser.parse, request.text)
@@ -190,6 +236,7 @@
             request.change_id,
             time.time_ns() // 10**6,
             request.text,
+            request.version,
         )
         outcome = await self.replica.apply(
             change,
@@ -207,6 +254,10 @@
             return self._refuse_change(request, _E.VERSION_CONFLICT, detail)
         return make_answer(Applied(decided.version))
 
+    def _count_voters(self):
+        members = self.replica.membership.members
+        return sum(member.is_voter for member in members)
+
     def _note_decided(self, change_id, outcome):
         is_accepted = outcome.kind is documents.OutcomeKind.ACCEPTED
         # A resend gets the first outcome again and changes nothing.
@@ -240,7 +291,7 @@
         message = _messages.ReplicaMessage(
             self._own_address, consensus_messages.encode_message(envelope)
         )
-        peer = self._node.connect(_parse_address(text))
+        peer = self._node.connect(Address.parse(text).peer)
         self._node.spawn(peer.request(message, SEND_TIMEOUT_S))
 
     async def _receive(self, message, _age_s):
@@ -250,11 +301,6 @@
         return _messages.Taken()
 
 
-def _parse_address(text):
-    _, endpoint, public_key = text.split()
-    return link.PeerAddress(endpoint, public_key)
-
-
 def make_answer(content):
     """Return a :class:`ControlAnswer` with ``content`` as JSON."""
     return _messages.ControlAnswer(None, msgspec.json.encode(content))
--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -5,6 +5,7 @@
 
 from cactusloftd import _admin
 from cactusloftd import _control
+from cactusloftd import _control_hosts
 from cactusloftd import _installed
 from cactusloftd import _messages
 from cactusloftd import _operators
@@ -24,23 +25,22 @@
     :param log: :class:`events.EventLog`.
     :param now: function that returns monotonic seconds.
     :param members: :class:`_members.Members`.
+    :param parser: reads texts like :class:`_texts.TextParser`, the default.
     """
 
-    def __init__(self, settings, node, log, now, members):
-        is_control_host = settings.name in (
-            host.name for host in settings.control_hosts
-        )
+    def __init__(self, settings, node, log, now, members, parser=None):
+        is_control_host = _control_hosts.is_control_host(settings)
         self.installed = _installed.Installed(log, now, is_control_host)
         self._settings = settings
         self._node = node
         self._log = log
         self._members = members
-        self._parser = _texts.TextParser()
+        self._parser = parser or _texts.TextParser()
         self._task = None
         self._control = None
         if settings.data_folder:
             self._control = _control.Control(
-                settings, node, log, self._parser, self._note_replicated
+                settings, node, log, self._parser, now, self._note_replicated
             )
         self.watcher = _watch.Watcher(
             settings,
@@ -83,6 +83,16 @@
         """Return the known :class:`_messages.ControlGroup`."""
         return self.watcher.group
 
+    @property
+    def control(self):
+        """Return the :class:`_control.Control`, None without that role."""
+        return self._control
+
+    @property
+    def operators(self):
+        """Return the :class:`_operators.Operators`."""
+        return self._operators
+
     @property
     def leads(self):
         """Tell whether this daemon is the control leader."""
--- a/daemon/src/cactusloftd/_group.py
+++ b/daemon/src/cactusloftd/_group.py
@@ -11,6 +11,7 @@
 import msgspec
 
 import cactusloft_link as link
+from cactusloftd import _control
 from cactusloftd import _messages
 
 TABLE = 'group'
@@ -118,5 +119,5 @@
 
 
 def _make_voter(member):
-    _, endpoint, public_key = member.address.split()
-    return Voter(member.replica_id, endpoint, public_key)
+    address = _control.Address.parse(member.address)
+    return Voter(member.replica_id, address.endpoint, address.public_key)
--- a/daemon/src/cactusloftd/_http.py
+++ b/daemon/src/cactusloftd/_http.py
@@ -85,16 +85,26 @@
 
     :param extra: further header pairs.
     """
+    headers = [*_headers.select_for_caller(response.headers)]
+    headers.append((_headers.CALL_ID, call_id))
+    if response.is_replayed:
+        headers.append((_headers.REPLAYED, 'true'))
+    return await write_answer(request, response, [*headers, *extra])
+
+
+async def write_answer(request, response, headers, is_last=False):
+    """Write status, headers and body, or abort the connection.
+
+    :param headers: header pairs, without those of the connection.
+    :param is_last: whether the connection is closed after it.
+    """
     is_small = _is_small(request, response)
     make = web.Response if is_small else web.StreamResponse
     out = make(status=response.status)
-    for name, value in _headers.select_for_caller(response.headers):
+    for name, value in headers:
         out.headers.add(name, value)
-    out.headers[_headers.CALL_ID] = call_id
-    if response.is_replayed:
-        out.headers[_headers.REPLAYED] = 'true'
-    for name, value in extra:
-        out.headers[name] = value
+    if is_last:
+        out.force_close()
     if response.length is not None and not is_small:
         out.content_length = response.length
     write = _write_whole if is_small else _write_chunks
--- a/daemon/src/cactusloftd/_http_server.py
+++ b/daemon/src/cactusloftd/_http_server.py
@@ -18,10 +18,28 @@
 # Also ends connections that never complete a request head.
 IDLE_TIMEOUT_S = 75.0
 LINGER_S = 1.0
+# Operators may allow large heads; the library's own bound is 8 KiB.
+MAX_HEAD_BYTES = 64 * 1024
 MAX_TRACE_FRAMES = 3
 _V = events.Event
 
 
+async def listen(endpoint, handler, log):
+    """Serve HTTP at an endpoint.
+
+    :param endpoint: ``IP:port``.
+    :param handler: coroutine function(request) that returns the answer.
+    :param log: :class:`events.EventLog`.
+    :returns: the runner, to be cleaned up.
+    """
+    runner = web.ServerRunner(HttpServer(handler, log))
+    await runner.setup()
+    address, _, port = endpoint.rpartition(':')
+    site = web.TCPSite(runner, address, int(port))
+    await site.start()
+    return runner
+
+
 class HttpServer(web.Server):
     """A low-level server for one listener.
 
@@ -38,6 +56,8 @@
             auto_decompress=False,
             keepalive_timeout=IDLE_TIMEOUT_S,
             lingering_time=LINGER_S,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
             access_log=None,
         )
         self._serve = handler
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -19,6 +19,9 @@
 FIRST_USE_WAIT_S = 1.0
 # Levels of pressure, from everything to nothing admitted.
 PRESSURE_LEVELS = len(calls.Priority)
+# A peer that owes a sign of life for this time gets no new calls; its link
+# is given up later.
+SUSPECT_SILENCE_S = 0.6
 
 
 class Members:
@@ -154,8 +157,18 @@
         :param excluded: names of daemons that are not to be chosen.
         """
         chooser = self._view.find_chooser(service)
+        suspects = (
+            member.name
+            for member in chooser.members
+            if self.connect(member).silence_s > SUSPECT_SILENCE_S
+        )
+        excluded = {*excluded, *suspects}
         return chooser.choose(self._now(), excluded)
 
+    def note_outcome(self, service, name, is_failed):
+        """Take note of how the backend server of a member did."""
+        self._view.find_chooser(service).note_outcome(name, is_failed)
+
     def make_runner(self, member):
         """Return the :class:`_calls.Runner` that sends calls to a member."""
         return _MemberRunner(
@@ -204,9 +217,10 @@
         try:
             outcome = await self._owner.run(call)
             level = self._owner.read_pressure(call).level
-            self._chooser.report(
-                self._name, level / PRESSURE_LEVELS, self._now()
-            )
+            now = self._now()
+            self._chooser.report(self._name, level / PRESSURE_LEVELS, now)
+            if self._owner.load is not None:
+                self._chooser.report_load(self._name, self._owner.load, now)
             response = outcome.value_or(None)
             if response is not None:
                 self._finish_on_close(response)
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -22,6 +22,7 @@
 
     :ivar remaining_ms: milliseconds until the deadline when it was sent.
     :ivar body_bytes: size of the whole body.
+    :ivar patience_ms: milliseconds left until the answer loses worth.
     """
 
     call_id: str
@@ -40,6 +41,9 @@
     headers: tuple[tuple[str, str], ...]
     body_bytes: int
     route: str
+    host: str = ''
+    caller_service: str = ''
+    patience_ms: int = 0
 
 
 @attrs.frozen
@@ -59,6 +63,7 @@
     :ivar length: bytes of the body, or None when not known beforehand.
     :ivar is_complete: whether the payload is the whole body.
     :ivar pressure: level of the pressure on this call's route, 0 for none.
+    :ivar load: calls that the owner holds for each slot.
     """
 
     status: int
@@ -66,6 +71,7 @@
     length: int | None
     is_complete: bool
     pressure: float
+    load: float = 0.0
 
 
 @attrs.frozen
@@ -79,6 +85,8 @@
     detail: str
     not_run: errors.NotRun | None
     pressure: float
+    load: float = 0.0
+    retry_after_s: float | None = None
 
 
 @attrs.frozen
@@ -286,12 +294,14 @@
     """An operator's change of the document.
 
     :ivar is_forwarded: whether another control host has passed it on.
+    :ivar version: version that the operator gave it, 0 for the next one.
     """
 
     base_version: int
     change_id: str
     text: str
     is_forwarded: bool
+    version: int = 0
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_operators.py
+++ b/daemon/src/cactusloftd/_operators.py
@@ -13,6 +13,7 @@
 
 from cactusloft_model import errors
 from cactusloftd import _control
+from cactusloftd import _control_hosts
 from cactusloftd import _messages
 
 _E = errors.ErrorKind
@@ -28,11 +29,8 @@
     """
 
     def __init__(self, settings, node, control, now):
-        self._hosts = [
-            host
-            for host in settings.control_hosts
-            if host.name != settings.name
-        ]
+        self._settings = settings
+        self._silent = []
         self._node = node
         self._control = control
         self._now = now
@@ -77,16 +75,28 @@
 
     async def _ask_hosts(self, request):
         answer = _control.refuse_unavailable('no control host answers')
-        for host in list(self._hosts):
+        for host in self._list_hosts():
             # Each host may pass it on once, to the leader that it knows.
             answer = await self._ask(host.address, request)
             if not _is_unavailable(answer):
                 return answer
             # A host that does not answer is asked last from now on.
-            self._hosts.remove(host)
-            self._hosts.append(host)
+            self._silent = [h for h in self._silent if h != host] + [host]
         return answer
 
+    def _list_hosts(self):
+        """Return the other control hosts, those that were silent last."""
+        settings = self._settings
+        others = _control_hosts.list_others(
+            settings.control_hosts, settings.name
+        )
+        return sorted(
+            others,
+            key=lambda host: (
+                self._silent.index(host) + 1 if host in self._silent else 0
+            ),
+        )
+
     async def _ask(self, address, request):
         peer = self._node.connect(address)
         if not await peer.wait_until_up(_control.CONNECT_WAIT_S):
--- a/daemon/src/cactusloftd/_owner.py
+++ b/daemon/src/cactusloftd/_owner.py
@@ -65,6 +65,14 @@
         """Return the number of calls that run or wait for a slot."""
         return self._gate.held if self._gate else 0
 
+    @property
+    def load(self):
+        """Return the calls that are held for each slot."""
+        announcement = self.announcement
+        if announcement is None:
+            return 0.0
+        return self.in_flight / max(1, announcement.slots)
+
     @property
     def admission(self):
         """Return the :class:`controller.Admission`, or None."""
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -20,6 +20,8 @@
 class RemoteOwner:
     """Run calls on the owner behind a link.
 
+    :ivar load: calls that the owner holds for each slot, as it said with its
+        answer, or None.
     :param peer: :class:`link.Link` to the owner's daemon.
     :param now: function that returns monotonic seconds.
     """
@@ -28,6 +30,7 @@
         self._peer = peer
         self._now = now
         self._pressure = pressure.NO_PRESSURE
+        self.load = None
 
     def read_pressure(self, _call):
         """Return the pressure that came with the answer."""
@@ -52,6 +55,7 @@
             frame = await stream.receive()
             outcome = _read_head(stream, frame)
             self._pressure = _read_pressure(frame.message)
+            self.load = getattr(frame.message, 'load', None)
             is_kept = isinstance(outcome, result.Success)
             return outcome
         except link.StreamLost:
@@ -86,14 +90,15 @@
         else:
             outcome = await self._owner.run(call)
         level = self._owner.read_pressure(call).level
+        load = self._owner.load
         if isinstance(outcome, result.Failure):
-            await stream.send(_make_refusal(outcome.failure(), level))
+            await stream.send(_make_refusal(outcome.failure(), level, load))
             # Keeps the stream open until the entry has read the refusal.
             await stream.wait_closed()
             return
         response = outcome.unwrap()
         try:
-            await _send_response(stream, response, level)
+            await _send_response(stream, response, level, load)
             await stream.wait_closed()
         finally:
             await response.close()
@@ -118,6 +123,9 @@
         headers=call.headers,
         body_bytes=len(call.body),
         route=call.route,
+        host=call.host,
+        caller_service=call.caller_service,
+        patience_ms=int(call.patience_s * 1000),
     )
 
 
@@ -132,11 +140,21 @@
         start.headers,
         body,
         start.route,
+        host=start.host,
+        caller_service=start.caller_service,
+        patience_s=start.patience_ms / 1000,
     )
 
 
-def _make_refusal(error, level):
-    return _messages.Refusal(error.kind, error.detail, error.not_run, level)
+def _make_refusal(error, level, load):
+    return _messages.Refusal(
+        error.kind,
+        error.detail,
+        error.not_run,
+        level,
+        load,
+        error.retry_after_s,
+    )
 
 
 def _read_pressure(message):
@@ -151,7 +169,7 @@
         await stream.send(make_message(is_last), chunk)
 
 
-async def _send_response(stream, response, level):
+async def _send_response(stream, response, level, load):
     """Send head and body; small bodies go with the head in one message."""
     chunks = response.chunks
     is_small = (
@@ -160,7 +178,12 @@
     )
     body = b''.join([chunk async for chunk in chunks]) if is_small else b''
     head = _messages.AnswerStart(
-        response.status, response.headers, response.length, is_small, level
+        response.status,
+        response.headers,
+        response.length,
+        is_small,
+        level,
+        load,
     )
     await stream.send(head, body)
     if is_small:
@@ -173,7 +196,14 @@
 def _read_head(stream, frame):
     message = frame.message
     if isinstance(message, _messages.Refusal):
-        return _calls.fail(message.kind, message.detail, message.not_run)
+        return result.Failure(
+            errors.CallError(
+                message.kind,
+                message.detail,
+                message.not_run,
+                message.retry_after_s,
+            )
+        )
     if not isinstance(message, _messages.AnswerStart):
         return _calls.fail(_E.BACKEND_SERVER_FAILED, 'unexpected message')
     if message.is_complete:
--- a/daemon/src/cactusloftd/_rates.py
+++ b/daemon/src/cactusloftd/_rates.py
@@ -45,9 +45,20 @@
     :param allocators: :class:`Allocators` of this daemon.
     :param now: function that returns monotonic seconds.
     :param metrics: :class:`_metrics.Metrics`.
+    :param wait_s: seconds for which a call waits for a token.
     """
 
-    def __init__(self, name, boot, view, node, allocators, now, metrics):
+    def __init__(
+        self,
+        name,
+        boot,
+        view,
+        node,
+        allocators,
+        now,
+        metrics,
+        wait_s=WAIT_S,
+    ):
         self._name = name
         self._boot = boot
         self._view = view
@@ -55,6 +66,7 @@
         self._allocators = allocators
         self._now = now
         self._metrics = metrics
+        self._wait_s = wait_s
         self._accounts = {}
         self._numbers = itertools.count()
         self._hint = ''
@@ -67,12 +79,13 @@
             ``Failure(CallError)``.
         """
         name = context.client_account
-        if not name:
+        if not name or not self._allocators.is_limited(name):
             return result.Success(None)
         account = self._accounts.get(name)
         if account is None:
             account = self._accounts[name] = self._make_account(name)
-        return await account.admit(context.deadline)
+        wait_s = min(self._wait_s, context.deadline - self._now())
+        return await account.admit(wait_s)
 
     def give_back(self, token):
         """Return the token of a call that is certainly not run."""
@@ -143,8 +156,8 @@
         """Tell whether the holder has a live lease."""
         return self._holder.is_leased(self._now())
 
-    async def admit(self, deadline):
-        """Take a token, waiting briefly for one."""
+    async def admit(self, wait_s):
+        """Take a token, waiting ``wait_s`` seconds at most for one."""
         now = self._now()
         self._holder.note_arrival(now)
         if not self._waiters:
@@ -158,7 +171,6 @@
         self._waiters.append(waiter)
         self._wake.set()
         try:
-            wait_s = min(WAIT_S, deadline - now)
             async with asyncio.timeout(wait_s):
                 debit = await asyncio.shield(waiter)
             return result.Success(Token(self, debit))
@@ -245,6 +257,11 @@
         self._since = 0.0
         self._allocators = {}
 
+    def is_limited(self, name):
+        """Tell whether the document limits the rate of an account."""
+        account = self._config.current.accounts.get(name)
+        return account is None or account.rate > 0
+
     async def run(self):
         """Notice the start of a leadership, until cancelled."""
         while True:
--- a/daemon/src/cactusloftd/_registrations.py
+++ b/daemon/src/cactusloftd/_registrations.py
@@ -12,6 +12,7 @@
 
 from cactusloft_membership import exchange
 from cactusloft_membership import registry
+from cactusloftd import _control_hosts
 from cactusloftd import _messages
 
 TABLE = 'members'
@@ -97,19 +98,25 @@
 
     async def run(self):
         """Keep the other control hosts informed until cancelled."""
-        others = (
-            host
-            for host in self._settings.control_hosts
-            if host.name != self._settings.name
-        )
+        feeds = {}
         async with asyncio.TaskGroup() as group:
-            for host in others:
-                group.create_task(self._feed(host))
             while True:
+                self._update_feeds(group, feeds)
                 self._expire()
                 self._forget_reports()
                 await asyncio.sleep(HEARTBEAT_S)
 
+    def _update_feeds(self, group, feeds):
+        """Run one feed for each other control host."""
+        settings = self._settings
+        others = _control_hosts.list_others(
+            settings.control_hosts, settings.name
+        )
+        for host in set(feeds).difference(others):
+            feeds.pop(host).cancel()
+        for host in set(others).difference(feeds):
+            feeds[host] = group.create_task(self._feed(host))
+
     async def _feed(self, host):
         """Send one control host all changes, and heartbeats."""
         peer = self._node.connect(host.address)
--- a/daemon/src/cactusloftd/_settings.py
+++ b/daemon/src/cactusloftd/_settings.py
@@ -7,6 +7,7 @@
 
 import cactusloft_link as link
 from cactusloft_model import ini
+from cactusloftd import _control_hosts
 
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 
@@ -36,20 +37,13 @@
     """
 
     operator_token_hash: str
-    key_pair: link.KeyPair
+    key_pair: link.KeyPair | None
     allowed_keys: str
 
-
-@attrs.frozen
-class ControlHost:
-    """A control host that the settings name.
-
-    :ivar address: :class:`link.PeerAddress` of its peer listener.
-    """
-
-    name: str
-    data_centre: str
-    address: link.PeerAddress
+    @property
+    def public_key(self):
+        """Return the public key as text, empty on plain links."""
+        return self.key_pair.public.decode() if self.key_pair else ''
 
 
 @attrs.frozen
@@ -57,6 +51,7 @@
     """All settings of a daemon.
 
     :ivar data_folder: folder of the control replica, empty without that role.
+    :ivar least_voters: voters without which no change is accepted.
     :ivar shutdown_grace_s: longest wait for calls in flight at shutdown.
     """
 
@@ -66,11 +61,12 @@
     region: str
     listeners: Listeners
     security: Security
-    control_hosts: tuple[ControlHost, ...]
+    control_hosts: _control_hosts.FixedControlHosts
     data_folder: str
     document_file: str
     shutdown_grace_s: float
     log_level: str
+    least_voters: int = 1
 
 
 def parse_settings(text):
@@ -108,6 +104,7 @@
         control_hosts=_read_control_hosts(open_section('control_hosts')),
         data_folder=control.read_text('data_folder', ''),
         document_file=control.read_text('document_file', ''),
+        least_voters=control.read_integer('least_voters', 1, low=1),
         shutdown_grace_s=daemon.read_number('shutdown_grace_s', 60, high=3600),
         log_level=daemon.read_choice(
             'log_level', ('debug', 'info', 'warning', 'error'), 'info'
@@ -170,7 +167,7 @@
             reader.add_fault(name, 'must be DATA_CENTRE IP:PORT PUBLIC_KEY')
             continue
         address = link.PeerAddress(words[1], words[2])
-        hosts.append(ControlHost(name, words[0], address))
+        hosts.append(_control_hosts.ControlHost(name, words[0], address))
     if not hosts:
         reader.add_fault('', 'at least one control host is required')
-    return tuple(hosts)
+    return _control_hosts.FixedControlHosts(hosts)
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -7,6 +7,8 @@
 
 from cactusloft_model import document
 from cactusloft_model import events
+from cactusloftd import _control
+from cactusloftd import _control_hosts
 from cactusloftd import _installed
 from cactusloftd import _messages
 
@@ -64,10 +66,9 @@
         self._known = {}
         self._woken = asyncio.Event()
         self._has_fixed_document = bool(settings.document_file)
-        self._hosts = _order_hosts(settings, random_source)
-        self._is_relay = any(
-            host.name == settings.name for host in settings.control_hosts
-        )
+        self._control_hosts = settings.control_hosts
+        self._rotation = _control_hosts.Rotation(settings, random_source)
+        self._is_relay = _control_hosts.is_control_host(settings)
         self.relays = 0
         self.group = _messages.NO_GROUP
 
@@ -81,7 +82,7 @@
 
     def find_home(self):
         """Return the :class:`ControlHost` that is watched, or None."""
-        return self._hosts[0] if self._hosts else None
+        return self._rotation.find_first()
 
     def wake(self):
         """Report at once and not with the next poll."""
@@ -93,7 +94,8 @@
             if self.take_local():
                 await asyncio.sleep(LOCAL_POLL_S)
                 continue
-            if not self._hosts or not await self._watch(self._hosts[0]):
+            home = self.find_home()
+            if home is None or not await self._watch(home):
                 self._move()
                 await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -136,7 +138,7 @@
     def _move(self):
         """Try the next control host, which knows none of our versions."""
         self._known.clear()
-        self._hosts = self._hosts[1:] + self._hosts[:1]
+        self._rotation.move()
 
     async def _watch(self, host):
         """Poll once; tell whether ``host`` is worth another poll."""
@@ -217,6 +219,7 @@
     def _take_group(self, group):
         if group is not None and group != self.group:
             self.group = group
+            self._control_hosts.learn(group.members)
             self._on_change()
 
     def _take(self, version, confirmed_at, make_document):
@@ -224,23 +227,19 @@
             self._on_change()
 
 
-def _order_hosts(settings, random_source):
-    """Return the other control hosts, own data centre first."""
-    hosts = [h for h in settings.control_hosts if h.name != settings.name]
-    random_source.shuffle(hosts)
-    hosts.sort(key=lambda host: host.data_centre != settings.data_centre)
-    return hosts
-
-
 def _list_group(replica):
     """Return the :class:`ControlGroup` as the local replica knows it."""
     membership = replica.membership
     members = []
     for member in membership.members:
-        daemon, peers, public_key = member.address.split()
+        address = _control.Address.parse(member.address)
         members.append(
             _messages.ControlMember(
-                member.replica_id, daemon, peers, public_key, member.is_voter
+                member.replica_id,
+                address.daemon,
+                address.endpoint,
+                address.public_key,
+                member.is_voter,
             )
         )
     return _messages.ControlGroup(
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -7,7 +7,6 @@
 import random
 import time
 
-from aiohttp import web
 import structlog
 
 import cactusloft_link as link
@@ -21,6 +20,7 @@
 from cactusloftd import _backend
 from cactusloftd import _callers
 from cactusloftd import _config
+from cactusloftd import _control_hosts
 from cactusloftd import _control_plane
 from cactusloftd import _entry
 from cactusloftd import _flow
@@ -61,7 +61,7 @@
         self._settings = settings
         self._incarnation = time.time_ns() // 10**6
         self._sequence = itertools.count(1)
-        now = time.monotonic
+        now = clock.read_boot_time
         hybrid_clock = clock.HybridClock(lambda: time.time_ns() // 10**6)
         self._log = events.EventLog(
             settings.name, hybrid_clock, structlog.get_logger()
@@ -92,7 +92,7 @@
         self._mark_relay = _mark_relay.MarkRelay(
             settings, self._incarnation, self._node, now
         )
-        self._is_control_host = _is_control_host(settings)
+        self._is_control_host = _control_hosts.is_control_host(settings)
         config = _choose_config(settings, self._plane)
         self._guards = self._make_guards(config, now)
         self._owner = _owner.Owner(
@@ -264,11 +264,7 @@
         return {(service,): count for service, count in counts.items()}
 
     async def _listen(self, endpoint, handler):
-        runner = web.ServerRunner(_http_server.HttpServer(handler, self._log))
-        await runner.setup()
-        address, _, port = endpoint.rpartition(':')
-        site = web.TCPSite(runner, address, int(port))
-        await site.start()
+        runner = await _http_server.listen(endpoint, handler, self._log)
         self._runners.append(runner)
 
     async def _shut_down(self):
@@ -338,7 +334,7 @@
             data_centre=settings.data_centre,
             peers=settings.listeners.peers,
             admin=settings.listeners.admin,
-            public_key=settings.security.key_pair.public.decode(),
+            public_key=settings.security.public_key,
             service=announcement.service if announcement else '',
             instance=announcement.instance if announcement else '',
             slots=announcement.slots if announcement else 0,
@@ -351,11 +347,6 @@
         )
 
 
-def _is_control_host(settings):
-    names = {host.name for host in settings.control_hosts}
-    return bool(settings.data_folder) or settings.name in names
-
-
 def _choose_config(settings, plane):
     """Return the source of the document: a fixed file, or the replicas."""
     if not settings.document_file:
--- /dev/null
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -0,0 +1,387 @@
+"""The path of a request on the host where it began.
+
+The entry alone decides on sending a request again, so an attempt of a client
+runs at most once wherever that is asked for: whatever an owner did not declare
+as not run may have run.
+"""
+
+import asyncio
+
+import attrs
+from returns import pipeline
+from returns import result
+
+from cactusloft_model import calls
+from cactusloft_model import errors
+from cactusloft_model import events
+from cactusloft_retry import budgets
+from cactusloftd import _calls
+from cactusloftd.resident import _splits
+
+# Owners asked for one call while each refuses before its backend server saw
+# the call. More would add load where every owner is full.
+MOST_OWNERS = 3
+# Repeats as a share of the successes of a service. A call that is repeated
+# repeats its nested calls, so the shares of up to four services add up; the
+# operators allow 0.2.
+REPEAT_SHARE = 0.05
+# Time left below which an answer of another owner would come too late.
+LEAST_REPEAT_S = 0.05
+# The owner's own answer that the deadline has passed is still on its way.
+DEADLINE_GRACE_S = 0.2
+# Seconds for Retry-After of a call that found no room. Long enough for a
+# queue to drain, short enough to come back in time.
+RETRY_AFTER_S = 0.4
+NOT_FOUND_RETRY_S = 0.2
+_E = errors.ErrorKind
+_V = events.Event
+_TRUE = errors.NotRun.TRUE
+# The owner did not offer the call to a backend server: another one may be
+# asked at no cost.
+_FREE_KINDS = (_E.NO_BACKEND_SERVER, _E.SHUTTING_DOWN)
+
+
+class Entry:
+    """Take requests and send each to an owner.
+
+    :param settings: :class:`_settings.Settings`.
+    :param config: :class:`_installed.Installed`.
+    :param owner: the local :class:`_owner.Owner`.
+    :param members: :class:`_members.Members`.
+    :param rates: :class:`_rates.Rates`.
+    :param marks: :class:`_marks.Marks`.
+    :param log: :class:`events.EventLog`.
+    :param metrics: :class:`_metrics.Metrics`.
+    :param now: function that returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings,
+        config,
+        owner,
+        members,
+        rates,
+        marks,
+        log,
+        metrics,
+        now,
+    ):
+        self._name = settings.name
+        self._config = config
+        self._owner = owner
+        self._members = members
+        self._rates = rates
+        self._marks = marks
+        self._log = log
+        self._metrics = metrics
+        self._now = now
+        self._splits = _splits.Splits()
+        self._budgets = {}
+
+    async def serve(self, request, caller_service):
+        """Serve one request.
+
+        :param request: :class:`protocol.Request`.
+        :param caller_service: service of the backend server beside this
+            daemon.
+        :returns: ``Success(Response)`` or ``Failure(CallError)``.
+        """
+        arrived_at = self._now()
+        authorised = self._authorise(request)
+        if not pipeline.is_successful(authorised):
+            self._note_refusal(request, authorised.failure(), arrived_at)
+            return authorised
+        route, account = authorised.unwrap()
+        call = self._make_call(request, route, account, caller_service)
+        outcome = await self._admit(call, route)
+        self._metrics.record(
+            'cactusloft_call_duration_seconds',
+            self._now() - arrived_at,
+            call.context.service,
+        )
+        if isinstance(outcome, result.Failure):
+            self._note_refusal(request, outcome.failure(), arrived_at, call)
+        else:
+            self._note_answer(call, outcome.unwrap(), arrived_at)
+        return outcome
+
+    def _authorise(self, request):
+        """Return the route and the account name of a request."""
+        document = self._config.current
+        route = document.find_route(request.method, request.path, request.host)
+        if route is None:
+            # Without a confirmed document the route may only be unknown.
+            if not self._config.is_fresh():
+                return _calls.fail(_E.CONFIG_STALE)
+            return _calls.fail(_E.NO_ROUTE)
+        if route.is_open:
+            return result.Success((route, ''))
+        if not self._config.is_fresh():
+            return _calls.fail(_E.CONFIG_STALE)
+        account = document.find_account(request.key) if request.key else None
+        if account is None:
+            return _calls.fail(_E.UNAUTHENTICATED)
+        return result.Success((route, account.name))
+
+    def _make_call(self, request, route, account, caller_service):
+        limit_ms = route.deadline_ms
+        if request.deadline_ms is not None:
+            limit_ms = min(limit_ms, request.deadline_ms)
+        service = self._splits.choose(route)
+        priority = route.priority
+        known = self._config.current.accounts.get(account)
+        if known is not None and known.priority is not None:
+            priority = known.priority
+        context = calls.CallContext(
+            call_id=request.attempt_id,
+            root_call_id=request.attempt_id,
+            parent_call_id='',
+            root_entry=self._name,
+            client_account=account,
+            service=service,
+            priority=priority,
+            deadline=self._now() + limit_ms / 1000,
+            depth=0,
+            idempotent=route.idempotent,
+            fingerprint=calls.compute_fingerprint(
+                account, '', request.method, request.target, request.body
+            ),
+        )
+        return _calls.Call(
+            context,
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            route.name,
+            host=request.host,
+            caller_service=caller_service,
+            patience_s=(route.target_latency_ms or limit_ms) / 1000,
+        )
+
+    async def _admit(self, call, route):
+        checked = self._marks.check(call.context.fingerprint)
+        if not pipeline.is_successful(checked):
+            return checked
+        admitted = await self._rates.admit(call.context)
+        if not pipeline.is_successful(admitted):
+            return admitted
+        outcome = await self._try_owners(call, 1 + route.retries)
+        is_failure = isinstance(outcome, result.Failure)
+        if is_failure and _is_not_run(outcome.failure()):
+            self._rates.give_back(admitted.unwrap())
+        return outcome
+
+    async def _try_owners(self, call, most_runs):
+        """Ask owners until one answers, and at most until the deadline."""
+        await self._members.prepare(call.context.service)
+        attempt = _Attempt(call, most_runs)
+        limit_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
+        try:
+            async with asyncio.timeout(limit_s):
+                outcome = await self._run_attempt(attempt)
+        except TimeoutError:
+            outcome = _calls.fail(_E.DEADLINE_EXCEEDED)
+            attempt.may_have_run |= attempt.is_sent
+        settled = attempt.settle(outcome)
+        unused = attempt.failed_answer
+        if unused is not None and unused is not settled:
+            await unused.unwrap().close()
+        return settled
+
+    async def _run_attempt(self, attempt):
+        call = attempt.call
+        outcome = _calls.fail(
+            _E.NO_BACKEND_SERVER, 'no member', _TRUE, NOT_FOUND_RETRY_S
+        )
+        while len(attempt.tried) < MOST_OWNERS:
+            name, runner = self._choose_owner(call, attempt.tried)
+            if runner is None:
+                break
+            attempt.tried.add(name)
+            attempt.is_sent = True
+            outcome = await runner.run(call)
+            attempt.is_sent = False
+            self._note_run(call, name, outcome)
+            if not self._may_try_next(attempt, outcome):
+                break
+        return outcome
+
+    def _choose_owner(self, call, tried):
+        service = call.context.service
+        is_local = self._owner.service == service and self._owner.is_serving
+        is_local = is_local and self._name not in tried
+        admission = self._owner.admission
+        if is_local and admission.in_flight < admission.compute_limit():
+            return self._name, self._owner
+        member = self._members.choose(service, tried | {self._name})
+        if member is not None:
+            return member.name, self._members.make_runner(member)
+        return (self._name, self._owner) if is_local else (None, None)
+
+    def _note_run(self, call, name, outcome):
+        service = call.context.service
+        if isinstance(outcome, result.Success):
+            is_failed = outcome.unwrap().status >= 500
+            if not is_failed:
+                self._find_budget(service).note_success()
+        else:
+            error = outcome.failure()
+            is_failed = error.kind is _E.BACKEND_SERVER_FAILED
+            is_failed = is_failed or error.detail.startswith('shed by')
+            self._log.record(
+                _V.CALL_DISPATCHED,
+                call_id=call.context.call_id,
+                owner=name,
+                service=service,
+                kind=error.kind.value,
+                not_run=error.answer.not_run.value,
+                detail=error.detail,
+            )
+        self._members.note_outcome(service, name, is_failed)
+
+    def _may_try_next(self, attempt, outcome):
+        """Tell whether another owner may get the call after ``outcome``."""
+        call = attempt.call
+        context = call.context
+        if isinstance(outcome, result.Success):
+            # A backend server's own failure counts as run.
+            response = outcome.unwrap()
+            if response.status < 500 or not context.idempotent:
+                return False
+            attempt.runs += 1
+            if attempt.failed_answer is None:
+                attempt.failed_answer = outcome
+        else:
+            error = outcome.failure()
+            is_not_run = _is_not_run(error)
+            attempt.may_have_run |= not is_not_run
+            if context.deadline - self._now() < LEAST_REPEAT_S:
+                return False
+            if is_not_run and error.kind in _FREE_KINDS:
+                return True
+            if is_not_run and error.detail == 'no slot in time':
+                return True
+            attempt.runs += 1
+            if not budgets.may_resend(
+                context.idempotent, error.answer.not_run
+            ):
+                return False
+            if error.kind is _E.DEADLINE_EXCEEDED:
+                return False
+        return self._may_repeat(attempt)
+
+    def _may_repeat(self, attempt):
+        """Take budget for one more run of a call."""
+        context = attempt.call.context
+        budget = self._find_budget(context.service)
+        is_given = (
+            attempt.runs < attempt.most_runs
+            and context.deadline - self._now() >= LEAST_REPEAT_S
+            and budget.has_room()
+        )
+        if is_given:
+            budget.spend()
+        self._log.record(
+            _V.CALL_RETRIED if is_given else _V.RETRY_DENIED,
+            call_id=context.call_id,
+            service=context.service,
+            runs=attempt.runs,
+            most_runs=attempt.most_runs,
+            has_budget=budget.has_room(),
+        )
+        return is_given
+
+    def _find_budget(self, service):
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = budgets.RetryBudget(REPEAT_SHARE, self._now)
+            self._budgets[service] = budget
+        return budget
+
+    def _note_answer(self, call, response, arrived_at):
+        context = call.context
+        self._metrics.count(
+            'cactusloft_calls_total',
+            context.service,
+            f'{response.status // 100}xx',
+        )
+        self._log.record(
+            _V.CALL_ANSWERED,
+            call_id=context.call_id,
+            service=context.service,
+            route=call.route,
+            status=response.status,
+            after_ms=round((self._now() - arrived_at) * 1000),
+        )
+
+    def _note_refusal(self, request, error, arrived_at, call=None):
+        self._metrics.count(
+            'cactusloft_refusals_total', 'callers', error.kind.value
+        )
+        fields = {}
+        if call is not None:
+            context = call.context
+            fields = {
+                'service': context.service,
+                'route': call.route,
+                'client_account': context.client_account,
+                'priority': context.priority.name.lower(),
+                'left_ms': context.remaining_ms(self._now()),
+            }
+        self._log.record(
+            _V.CALL_REFUSED,
+            call_id=request.attempt_id,
+            kind=error.kind.value,
+            not_run=error.answer.not_run.value,
+            detail=error.detail,
+            document_version=self._config.version.number,
+            confirmation_age_s=round(self._config.age_s, 3),
+            after_ms=round((self._now() - arrived_at) * 1000),
+            **fields,
+        )
+
+
+@attrs.define
+class _Attempt:
+    """What has become of one attempt of a client so far.
+
+    :ivar runs: backend servers that got the call, or may have got it.
+    :ivar may_have_run: whether one of them may have run it.
+    :ivar is_sent: whether an owner has it just now.
+    :ivar failed_answer: a backend server's own failure, given to the client
+        when no repeat did better.
+    """
+
+    call: _calls.Call
+    most_runs: int
+    tried: set[str] = attrs.Factory(set)
+    runs: int = 0
+    may_have_run: bool = False
+    is_sent: bool = False
+    failed_answer: object = None
+
+    def settle(self, outcome):
+        """Return the outcome for the client."""
+        if isinstance(outcome, result.Success):
+            return outcome
+        if self.failed_answer is not None:
+            return self.failed_answer
+        error = outcome.failure()
+        if not self.may_have_run and error.kind is _E.DEADLINE_EXCEEDED:
+            # Nobody has it: no backend server was found in time.
+            return _calls.fail(_E.OVERLOADED, 'no owner in time', _TRUE)
+        if self.may_have_run and _is_not_run(error):
+            # An earlier run of the same attempt may have happened.
+            return _calls.fail(_E.OUTCOME_UNKNOWN, error.detail)
+        if _is_not_run(error) and error.retry_after_s is None:
+            retry_after_s = RETRY_AFTER_S
+            return result.Failure(
+                attrs.evolve(error, retry_after_s=retry_after_s)
+            )
+        return outcome
+
+
+def _is_not_run(error):
+    return error.answer.not_run is _TRUE
--- /dev/null
+++ b/daemon/src/cactusloftd/resident/_settings.py
@@ -0,0 +1,47 @@
+"""Settings of a resident, made from what the platform tells it."""
+
+from cactusloft_model import errors
+from cactusloftd import _control_hosts
+from cactusloftd import _settings
+
+ControlHost = _control_hosts.ControlHost
+
+
+class SettingsError(errors.UserError):
+    """The settings of the platform cannot be used."""
+
+
+def make_settings(
+    name,
+    host,
+    data_centre,
+    region,
+    peers,
+    control_hosts,
+    data_folder,
+    shutdown_grace_s,
+    least_voters,
+):
+    """Return the :class:`_settings.Settings` of a resident.
+
+    Peers are not authenticated: the platform gives no key material, so every
+    process that reaches the peer port is trusted.
+
+    :param peers: ``IP:port`` of the listener for other residents.
+    :param control_hosts: the seeds, each a :class:`ControlHost`.
+    :param shutdown_grace_s: seconds from SIGTERM to the end of the process.
+    """
+    return _settings.Settings(
+        name=name,
+        host=host,
+        data_centre=data_centre,
+        region=region,
+        listeners=_settings.Listeners('', '', '', peers),
+        security=_settings.Security('', None, ''),
+        control_hosts=_control_hosts.FoundControlHosts(control_hosts),
+        data_folder=data_folder,
+        document_file='',
+        shutdown_grace_s=shutdown_grace_s,
+        log_level='info',
+        least_voters=least_voters,
+    )
--- /dev/null
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -0,0 +1,372 @@
+"""A whole resident: its parts, their start and their shutdown.
+
+A resident with a data folder is a control host; one beside a backend server is
+entry and owner. One process may be both.
+"""
+
+import asyncio
+import itertools
+import random
+import time
+
+import attrs
+
+import cactusloft_link as link
+from cactusloft_membership import choice
+from cactusloft_membership import exchange
+from cactusloft_membership import registry
+from cactusloft_model import clock
+from cactusloft_model import events
+import cactusloft_quota as quota
+from cactusloftd import _control_plane
+from cactusloftd import _group
+from cactusloftd import _http
+from cactusloftd import _mark_relay
+from cactusloftd import _marks
+from cactusloftd import _members
+from cactusloftd import _messages
+from cactusloftd import _metrics
+from cactusloftd import _peers
+from cactusloftd import _rates
+from cactusloftd import _registrations
+from cactusloftd.resident import _entry
+from cactusloftd.resident import _group_entry
+from cactusloftd.resident import _line_log
+from cactusloftd.resident import _owner
+
+STANDARD_OUTPUT = 1
+# Calls wait this long for a token of their account. A refusal that comes
+# later has held its caller up for nothing.
+RATE_WAIT_S = 0.04
+REPORT_INTERVAL_S = 1.0
+SHUTDOWN_POLL_S = 0.02
+# Callers notice within this time that the host takes no new work.
+NOTICE_S = 2.5
+# A document confirmed within this time may be read back as the newest.
+READ_AGE_S = 1.0
+# What the stop of a process itself takes, out of the grace that it has.
+EXIT_S = 0.7
+_V = events.Event
+_LINK_EVENTS = {
+    'peer_lost': _V.PEER_LOST,
+    'peer_connected': _V.PEER_CONNECTED,
+    'handler_failed': _V.INTERNAL_ERROR,
+}
+
+
+@attrs.frozen
+class Site:
+    """What a resident is told of its place beside its settings.
+
+    :ivar backend_server: ``IP:port`` of the backend server beside it, empty
+        without one.
+    :ivar service: service of the callers on this host.
+    :ivar is_founder: whether it makes the control group at the first start.
+    """
+
+    backend_server: str
+    service: str
+    is_founder: bool
+
+
+class Resident:
+    """All parts of one resident.
+
+    :param settings: :class:`_settings.Settings`.
+    :param site: :class:`Site`.
+    :param backend_protocol: :class:`protocol.BackendProtocol`.
+    :param reader: :class:`protocol.DocumentReader`.
+    """
+
+    def __init__(self, settings, site, backend_protocol, reader):
+        self._settings = settings
+        self._site = site
+        self._now = clock.read_boot_time
+        self._incarnation = time.time_ns() // 10**6
+        self._sequence = itertools.count(1)
+        hybrid_clock = clock.HybridClock(lambda: time.time_ns() // 10**6)
+        self.log = _line_log.LineLog(
+            settings.name,
+            hybrid_clock,
+            _line_log.LineWriter(STANDARD_OUTPUT),
+        )
+        self.metrics = _metrics.Metrics()
+        self.log.on_record = self.metrics.count_event
+        self._node = link.Node(_messages.CODEC, None, None, hybrid_clock)
+        self._node.on_event = self._record_link_event
+        self._members = _members.Members(
+            self._node,
+            settings.control_hosts,
+            self._describe,
+            choice.View(settings.name, settings.data_centre, random.Random()),
+            self._now,
+        )
+        self._plane = _control_plane.ControlPlane(
+            settings, self._node, self.log, self._now, self._members, reader
+        )
+        self.exchanges = _http.Exchanges()
+        self._is_changed = asyncio.Event()
+        self._is_stopping = False
+        self._was_serving = False
+        self._tasks = []
+        self._attach_group()
+        self._attach_control()
+        self._attach_entry(backend_protocol)
+        self._observe()
+
+    @property
+    def is_ready(self):
+        """Tell whether callers should send new work here."""
+        return not self._is_stopping and self._plane.installed.is_fresh()
+
+    @property
+    def is_stopping(self):
+        """Tell whether connections should be closed after their answer."""
+        return self._is_stopping
+
+    @property
+    def owner(self):
+        """Return the :class:`_owner.Owner` of the backend server."""
+        return self._owner
+
+    async def serve(self, request):
+        """Serve a request of a caller on this host.
+
+        :param request: :class:`protocol.Request`.
+        :returns: ``Success(Response)`` or ``Failure(CallError)``.
+        """
+        return await self._entry.serve(request, self._site.service)
+
+    async def apply(self, base_version, version, change_id, text):
+        """Ask the control group for a change of the document.
+
+        :returns: :class:`_messages.ControlAnswer`.
+        """
+        request = _messages.ApplyRequest(
+            base_version, change_id, text, False, version
+        )
+        return await self._plane.operators.decide(request)
+
+    def read_document(self):
+        """Return the newest text, or None when it may not be the newest."""
+        replica = self._plane.replica
+        if replica is None or replica.confirmed_at is None:
+            return None
+        if self._now() - replica.confirmed_at > READ_AGE_S:
+            return None
+        return replica.store.text or None
+
+    def start(self):
+        """Start serving peers and keep what is shared with them current."""
+        self._node.handle_requests(quota.LeaseRequest, self._allocators.answer)
+        self._plane.start()
+        self._node.listen(self._settings.listeners.peers)
+        jobs = [self._allocators.run()]
+        if self._plane.replica is not None:
+            entry = _group_entry.GroupEntry(
+                self._plane, self._site.is_founder, self.log
+            )
+            jobs += [entry.run(), self._registrations.run()]
+        if self._site.backend_server:
+            jobs += [self._keep_registered(), self._marks.run()]
+        self._tasks = [asyncio.create_task(job) for job in jobs]
+        self.log.record(
+            _V.DAEMON_STARTED,
+            host=self._settings.host,
+            name=self._settings.name,
+            data_centre=self._settings.data_centre,
+            incarnation=self._incarnation,
+            is_control_host=self._plane.replica is not None,
+        )
+
+    def reload(self, settings):
+        """Take the seeds of changed settings.
+
+        :param settings: :class:`_settings.Settings`.
+        """
+        seeds = list(settings.control_hosts)
+        self._settings.control_hosts.replace_seeds(seeds)
+        self.log.record(
+            _V.SETTINGS_RELOADED, seeds=','.join(host.name for host in seeds)
+        )
+
+    def note_reload_failure(self, reason):
+        """Log that changed settings cannot be used."""
+        self.log.record(_V.SETTINGS_RELOADED, failure=reason)
+
+    async def shut_down(self):
+        """Take no new work and wait for what is in progress."""
+        self._is_stopping = True
+        self.log.record(
+            _V.DAEMON_STOPPING, open_exchanges=self.exchanges.count
+        )
+        started_at = self._now()
+        if self._site.backend_server:
+            self._owner.stop()
+            await self._members.report_now()
+        limit = started_at + self._settings.shutdown_grace_s - EXIT_S
+        while self._now() < limit and self._is_busy(started_at):
+            await asyncio.sleep(SHUTDOWN_POLL_S)
+
+    async def close(self):
+        """Stop all parts."""
+        for task in self._tasks:
+            task.cancel()
+        self._rates.close()
+        if self._site.backend_server:
+            self._owner.close()
+        await self._plane.close()
+        self.metrics.close()
+        self._node.close()
+        self.log.record(_V.DAEMON_STOPPED, open_exchanges=self.exchanges.count)
+
+    def _is_busy(self, started_at):
+        if self._site.backend_server:
+            if self._now() < started_at + NOTICE_S:
+                return True
+            return bool(self.exchanges.count or self._owner.held)
+        return bool(self.exchanges.count)
+
+    def _attach_group(self):
+        """Follow the control group and what it grants."""
+        plane, settings = self._plane, self._settings
+        view = _group.GroupView(plane.replica)
+        plane.attach(_group.TABLE, view)
+        self._allocators = _rates.Allocators(
+            view, plane.installed, self.log, self._now
+        )
+        self._rates = _rates.Rates(
+            settings.name,
+            str(self._incarnation),
+            view,
+            self._node,
+            self._allocators,
+            self._now,
+            self.metrics,
+            RATE_WAIT_S,
+        )
+        self._mark_relay = _mark_relay.MarkRelay(
+            settings, self._incarnation, self._node, self._now
+        )
+        self._marks = _marks.Marks(
+            settings.name,
+            self._members,
+            self._mark_relay,
+            plane.replica is not None,
+            self.log,
+        )
+
+    def _attach_control(self):
+        """Serve the tables of the daemons that watch this control host."""
+        plane = self._plane
+        if plane.replica is None:
+            return
+        self._registrations = _registrations.RegistrationServer(
+            self._settings,
+            self._incarnation,
+            self._node,
+            plane.installed,
+            self._now,
+        )
+        self._registrations.on_change = plane.server.notify
+        self._mark_relay.on_change = plane.server.notify
+        plane.server.attach(_registrations.TABLE, self._registrations)
+        plane.server.attach(_mark_relay.TABLE, self._mark_relay)
+        handle = self._node.handle_requests
+        handle(exchange.HomeNews, self._registrations.take_news)
+        handle(_messages.MarkNews, self._mark_relay.receive)
+        handle(_messages.Lookup, self._registrations.look_up)
+
+    def _attach_entry(self, backend_protocol):
+        """Serve callers and the backend server of this host."""
+        plane, members = self._plane, self._members
+        if not self._site.backend_server:
+            return
+        self._owner = _owner.Owner(
+            self._site.backend_server,
+            backend_protocol,
+            plane.installed,
+            self._marks,
+            self.log,
+            self.metrics,
+            self._now,
+        )
+        self._owner.on_change = self._is_changed.set
+        self._entry = _entry.Entry(
+            self._settings,
+            plane.installed,
+            self._owner,
+            members,
+            self._rates,
+            self._marks,
+            self.log,
+            self.metrics,
+            self._now,
+        )
+        members.on_report_due = self._is_changed.set
+        members.find_home = plane.watcher.find_home
+        for name, user in (
+            (_registrations.TABLE, members),
+            (_mark_relay.TABLE, self._marks),
+        ):
+            plane.watcher.attach(name, user.make_report, user.take_table)
+        server = _peers.CallServer(self._owner, self._now)
+        self._node.handle_streams(_messages.CallStart, server.serve)
+        handle = self._node.handle_requests
+        handle(_messages.PermitRequest, self._marks.answer_permit)
+
+    async def _keep_registered(self):
+        """Report to the home whenever the registration has changed."""
+        while True:
+            if self._is_changed.is_set():
+                self._is_changed.clear()
+                self._plane.watcher.wake()
+            try:
+                async with asyncio.timeout(REPORT_INTERVAL_S):
+                    await self._is_changed.wait()
+            except TimeoutError:
+                self._note_silent_worker()
+
+    def _note_silent_worker(self):
+        """Report a backend server whose heartbeats have stopped."""
+        is_serving = self._owner.is_serving
+        if is_serving != self._was_serving:
+            self._is_changed.set()
+
+    def _describe(self):
+        settings = self._settings
+        heartbeat = self._owner.heartbeat
+        self._was_serving = self._owner.is_serving
+        return registry.Registration(
+            name=settings.name,
+            incarnation=self._incarnation,
+            sequence=next(self._sequence),
+            host=settings.host,
+            data_centre=settings.data_centre,
+            peers=settings.listeners.peers,
+            admin='',
+            public_key='',
+            service=heartbeat.service if heartbeat else '',
+            instance=heartbeat.instance if heartbeat else '',
+            slots=heartbeat.slots if heartbeat else 0,
+            is_serving=self._was_serving,
+        )
+
+    def _observe(self):
+        """Name the sources of the gauges."""
+        observe = self.metrics.observe_number
+        installed = self._plane.installed
+        observe('cactusloft_open_exchanges', lambda: self.exchanges.count)
+        observe('cactusloft_rate_leases', self._rates.count_leases)
+        observe(
+            'cactusloft_document_version', lambda: installed.version.number
+        )
+        observe(
+            'cactusloft_confirmation_age_seconds',
+            lambda: installed.age_s if installed.confirmed_at else None,
+        )
+        if self._site.backend_server:
+            observe('cactusloft_in_flight_calls', lambda: self._owner.held)
+
+    def _record_link_event(self, name, **fields):
+        self.log.record(_LINK_EVENTS.get(name, _V.REQUEST_MALFORMED), **fields)
--- a/daemon/tests/test_members.py
+++ b/daemon/tests/test_members.py
@@ -6,9 +6,9 @@
 
 import cactusloft_link as link
 from cactusloft_membership import registry
+from cactusloftd import _control_hosts
 from cactusloftd import _members
 from cactusloftd import _messages
-from cactusloftd import _settings
 
 FOUND = registry.Registration(
     'd1', 1, 1, 'h1', 'dc1', '127.0.0.1:1', '127.0.0.1:2', 'k' * 40
@@ -40,7 +40,7 @@
 
 def make_members():
     """Return members that ask one control host."""
-    host = _settings.ControlHost('c1', 'dc1', None)
+    host = _control_hosts.ControlHost('c1', 'dc1', None)
     return _members.Members(Node(), [host], None, _View(), lambda: 0.0)
 
 
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -80,6 +80,10 @@
         now = self._read_clock()
         return self._meter.read(now, self._in_flight + self.queued)
 
+    def count_ahead(self, ticket):
+        """Return how many queued calls are served before a new one."""
+        return self._queue.count_ahead(ticket)
+
     def set_slots(self, slots):
         """Take over the slots of a renewed announcement."""
         self._slots = slots
--- a/libs/admission/src/cactusloft_admission/_queue.py
+++ b/libs/admission/src/cactusloft_admission/_queue.py
@@ -78,6 +78,17 @@
             for line in lane.by_account.values():
                 yield from line
 
+    def count_ahead(self, ticket):
+        """Return the calls that are served before one that comes now.
+
+        Fair shares inside its own rank are not considered.
+        """
+        rank = self._rank(ticket)
+        lanes = (lane for r, lane in self._lanes.items() if r >= rank)
+        return sum(
+            len(line) for lane in lanes for line in lane.by_account.values()
+        )
+
     def push(self, ticket):
         """Add a call."""
         lane = self._lanes.setdefault(self._rank(ticket), _Lane())
--- a/libs/consensus/src/cactusloft_consensus/_documents.py
+++ b/libs/consensus/src/cactusloft_consensus/_documents.py
@@ -35,18 +35,21 @@
     :ivar change_id: identity of the change, the same in every resend.
     :ivar wall_ms: wall clock of the proposer, for the history only.
     :ivar packed_text: compressed text, see :meth:`pack`.
+    :ivar version: version that the operator gave the change, higher than the
+        base version; 0 for the next one.
     """
 
     base_version: int
     change_id: str
     wall_ms: int
     packed_text: bytes
+    version: int = 0
 
     @classmethod
-    def pack(cls, base_version, change_id, wall_ms, text):
+    def pack(cls, base_version, change_id, wall_ms, text, version=0):
         """Return a change that sets the document to ``text``."""
         packed = zlib.compress(text.encode())
-        return cls(base_version, change_id, wall_ms, packed)
+        return cls(base_version, change_id, wall_ms, packed, version)
 
     @classmethod
     def decode(cls, data):
@@ -160,7 +163,9 @@
     def _decide(self, change, digest):
         if change.base_version != self.version:
             return Outcome(OutcomeKind.CONFLICT, self.version)
-        self.version += 1
+        if change.version and change.version <= self.version:
+            return Outcome(OutcomeKind.CONFLICT, self.version)
+        self.version = change.version or self.version + 1
         self._texts[self.version] = change.packed_text
         if len(self._texts) > KEPT_TEXTS:
             self._texts.popitem(last=False)
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -23,7 +23,9 @@
 from cactusloft_link import _streams
 from cactusloft_model import clock
 
-PING_INTERVAL_S = 0.4
+PING_INTERVAL_S = 0.2
+# The peer has to hear of an open exchange that only the peer sends on.
+BUSY_PING_INTERVAL_S = 1.0
 # An idle link is only kept from being dropped on the way; with dozens of idle
 # peers, frequent pings would cost more than the control traffic.
 IDLE_PING_INTERVAL_S = 10.0
@@ -40,7 +42,7 @@
     """Where a peer listens, and the key that it must prove.
 
     :ivar endpoint: ``IP:port``.
-    :ivar public_key: Z85 CURVE public key.
+    :ivar public_key: Z85 CURVE public key, empty on plain links.
     """
 
     endpoint: str
@@ -51,8 +53,10 @@
     """All links of one daemon.
 
     :param codec: :class:`Codec` of the messages.
-    :param key_pair: this daemon's :class:`KeyPair`.
-    :param allowed_keys: :class:`AllowedKeys` for incoming connections.
+    :param key_pair: this daemon's :class:`KeyPair`, or None for plain links:
+        every process that reaches the port is then trusted.
+    :param allowed_keys: :class:`AllowedKeys` for incoming connections; not
+        used on plain links.
     :param hybrid_clock: stamps frames for the time line.
     """
 
@@ -89,14 +93,9 @@
 
         :returns: the port, chosen by the system for port 0.
         """
-        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
-            self._context
-        )
-        self._authenticator.start()
-        self._authenticator.configure_curve_callback(ZAP_DOMAIN.decode(), self)
         socket = self._make_socket(zmq.ROUTER)
-        socket.curve_server = True
-        socket.zap_domain = ZAP_DOMAIN
+        if self._key_pair is not None:
+            self._authenticate(socket)
         # Without it, frames to a peer that went away vanish silently.
         socket.router_mandatory = True
         socket.bind(f'tcp://{endpoint}')
@@ -104,6 +103,16 @@
         self._listener.start(socket)
         return port
 
+    def _authenticate(self, socket):
+        """Let a listening socket take only peers with an allowed key."""
+        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
+            self._context
+        )
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(ZAP_DOMAIN.decode(), self)
+        socket.curve_server = True
+        socket.zap_domain = ZAP_DOMAIN
+
     def callback(self, _domain, key):
         """Decide on a connecting peer; called by the ZAP authenticator."""
         is_allowed = self._allowed_keys.allows(key)
@@ -168,7 +177,8 @@
     def make_dealer(self, address, on_parts, on_connected, on_disconnected):
         """Return a connected socket and its monitor."""
         socket = self._make_socket(zmq.DEALER)
-        socket.curve_serverkey = address.public_key.encode('ascii')
+        if self._key_pair is not None:
+            socket.curve_serverkey = address.public_key.encode('ascii')
         # Messages wait for no connection: a queued call would be delivered
         # after its sender gave it up.
         socket.immediate = 1
@@ -184,8 +194,9 @@
         socket.sndhwm = HIGH_WATER_MARK
         socket.rcvhwm = HIGH_WATER_MARK
         socket.maxmsgsize = MAX_MESSAGE_BYTES
-        socket.curve_publickey = self._key_pair.public
-        socket.curve_secretkey = self._key_pair.secret
+        if self._key_pair is not None:
+            socket.curve_publickey = self._key_pair.public
+            socket.curve_secretkey = self._key_pair.secret
         return socket
 
 
@@ -214,6 +225,14 @@
         """Tell whether the peer answered on the present connection."""
         return self._up.is_set()
 
+    @property
+    def silence_s(self):
+        """Return the seconds for which the peer owes a sign of life."""
+        if not self._requests and not self._streams:
+            return 0.0
+        silent_since = max(self._last_heard, self._waiting_since)
+        return time.monotonic() - silent_since
+
     def start(self):
         """Connect and keep the connection alive until closed."""
         self._waiting_since = time.monotonic()
@@ -278,7 +297,13 @@
             is_idle = self.is_up and not self._requests and not self._streams
             if is_idle:
                 self._waiting_since = now
-            if not is_idle or now - last_ping > IDLE_PING_INTERVAL_S:
+            # Anything that comes in shows as much as an answer to a ping.
+            is_quiet = now - self._last_heard > PING_INTERVAL_S / 2
+            interval_s = BUSY_PING_INTERVAL_S
+            if is_idle:
+                interval_s = IDLE_PING_INTERVAL_S
+            is_due = now - last_ping > interval_s
+            if (is_quiet and not is_idle) or is_due:
                 self._send(_T.PING, 0)
                 last_ping = now
             silent_since = max(self._last_heard, self._waiting_since)
--- a/libs/membership/src/cactusloft_membership/_choice.py
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -20,6 +20,17 @@
 # Adds to the load of a member that refuses everything; large against the
 # load of one that is merely busy.
 PRESSURE_WEIGHT = 4.0
+# Share of its slots that a member of the own data centre may have taken
+# before members elsewhere are considered too.
+SPILL_LOAD = 0.8
+# A reported load says little after this time; calls in flight here do then.
+LOAD_KEPT_S = 0.5
+# Weight of the newest answer in the share of failed calls, and how much a
+# member that fails every call counts as loaded.
+FAILURE_SMOOTHING = 0.1
+FAILURE_WEIGHT = 3.0
+# Below this share, failures say nothing about one member.
+LEAST_FAILURES = 0.1
 
 
 @attrs.define
@@ -32,6 +43,10 @@
     reported_pressure: float = 0.0
     reported_at: float = float('-inf')
     avoided_until: float = float('-inf')
+    reported_load: float = 0.0
+    load_at: float = float('-inf')
+    begun: int = 0
+    failures: float = 0.0
 
 
 class Chooser:
@@ -106,6 +121,7 @@
         state = self._states.get(name)
         if state is not None:
             state.in_flight += 1
+            state.begun += 1
 
     def finish(self, name):
         """Count a call in flight less."""
@@ -123,6 +139,23 @@
             state.reported_pressure = pressure
             state.reported_at = now
 
+    def report_load(self, name, load, now):
+        """Take the load that an owner sent with an answer.
+
+        :param load: calls that it holds for each slot.
+        """
+        state = self._states.get(name)
+        if state is not None:
+            state.reported_load = load
+            state.load_at = now
+            state.begun = 0
+
+    def note_outcome(self, name, is_failed):
+        """Take note of how the backend server of a member did."""
+        state = self._states.get(name)
+        if state is not None:
+            state.failures += FAILURE_SMOOTHING * (is_failed - state.failures)
+
     def avoid(self, name, now):
         """Leave a member out for a while, after it refused new work."""
         state = self._states.get(name)
@@ -136,13 +169,19 @@
         pressure = self._read_pressure(state, now)
         return (
             pressure < SPILL_PRESSURE
-            and self._compute_load(member, now) <= 1.0
+            and self._compute_load(member, now) <= SPILL_LOAD
         )
 
     def _compute_load(self, member, now):
         state = self._states[member.name]
         slots = max(1, member.slots) * compute_warmth(now - state.first_seen)
-        load = (state.in_flight + 1) / max(1.0, slots)
+        slots = max(1.0, slots)
+        load = (state.in_flight + 1) / slots
+        if now - state.load_at < LOAD_KEPT_S:
+            reported = state.reported_load + (state.begun + 1) / slots
+            load = max(load, reported)
+        if state.failures > LEAST_FAILURES:
+            load += FAILURE_WEIGHT * state.failures
         return load + PRESSURE_WEIGHT * self._read_pressure(state, now)
 
     def _read_pressure(self, state, now):
--- a/libs/model/src/cactusloft_model/_clock.py
+++ b/libs/model/src/cactusloft_model/_clock.py
@@ -4,9 +4,20 @@
 an event that could have caused another one always has the lower stamp.
 """
 
+import time
+
 import attrs
 
 
+def read_boot_time():
+    """Return seconds since boot, time in which the host slept included.
+
+    Leases and confirmations have to lapse while a host is suspended; the
+    monotonic clock stands still then.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @attrs.frozen(order=True)
 class Stamp:
     """A point in causal order.
--- a/libs/model/src/cactusloft_model/_document.py
+++ b/libs/model/src/cactusloft_model/_document.py
@@ -30,20 +30,26 @@
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024
 # Bodies are held whole, so that a call which was certainly not run can be
 # sent again.
-MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_BODY_BYTES = 64 * 1024 * 1024
 DEFAULT_RETRIES = 1
 MAX_RETRIES = 5
 DEFAULT_RETRY_SHARE = 0.1
+# An answer that may take this much longer than its deadline allows is a
+# mistake in the document, no preference.
+MAX_TARGET_EXCESS_MS = 60_000
+INHERITED = 'inherited'
+UNLIMITED = 'unlimited'
 
 
 @attrs.frozen
 class ClientAccount:
     """A customer of the operator.
 
-    :ivar rate: requests per second over all hosts together.
+    :ivar rate: requests per second over all hosts together, 0 for no limit.
     :ivar burst: requests at once over all hosts together.
     :ivar weight: share in an overloaded service, relative to others.
     :ivar key_hashes: hashes of the keys that authenticate the account.
+    :ivar priority: goes before the priority of the route, None to use that.
     """
 
     name: str
@@ -51,6 +57,7 @@
     burst: float
     weight: float
     key_hashes: tuple[str, ...]
+    priority: calls.Priority | None = None
 
 
 @attrs.frozen
@@ -58,10 +65,13 @@
     """A service that backend servers announce.
 
     :ivar retry_share: retries allowed as a share of recent successes.
+    :ivar connections: most connections to one backend server, 0 for what it
+        announces.
     """
 
     name: str
     retry_share: float
+    connections: int = 0
 
 
 class Document:
@@ -83,19 +93,25 @@
             for account in accounts.values()
             for key_hash in account.key_hashes
         }
-        self._index = _routes.RouteIndex(routes.values())
+        self._indexes = _routes.index_hosts(routes.values())
         self._service_indexes = _routes.index_services(routes)
 
     def find_account(self, key):
         """Return the account that ``key`` authenticates, or None."""
         return self._account_by_hash.get(keys.hash_key(key))
 
-    def find_route(self, method, path):
+    def find_route(self, method, path, host=''):
         """Return the most specific route for a request, or None.
 
         :param path: path without the query.
+        :param host: name that the caller addressed.
         """
-        return self._index.find(method, path)
+        for name in (host, '') if host else ('',):
+            index = self._indexes.get(name)
+            route = None if index is None else index.find(method, path)
+            if route is not None:
+                return route
+        return None
 
     def find_service_route(self, service, method, path):
         """Return the route of a nested call to ``service``, or None."""
@@ -176,16 +192,52 @@
             )
     return ClientAccount(
         name=name,
-        rate=reader.read_number('rate', low=0.01),
+        rate=_read_rate(reader),
         burst=reader.read_number('burst', low=1),
         weight=reader.read_number('weight', 1.0, low=0.01, high=1000),
         key_hashes=hashes,
+        priority=_read_account_priority(reader),
     )
 
 
+def _read_rate(reader):
+    if reader.read_text('rate') == UNLIMITED:
+        return 0.0
+    return reader.read_number('rate', low=0.01)
+
+
+def _read_account_priority(reader):
+    text = reader.read_choice('priority', (*PRIORITIES, INHERITED), INHERITED)
+    return None if text == INHERITED else calls.Priority[text.upper()]
+
+
 def _read_service(name, reader):
     share = reader.read_number('retry_share', DEFAULT_RETRY_SHARE, high=1)
-    return Service(name=name, retry_share=share)
+    connections = reader.read_integer('connections', 0)
+    return Service(name, share, connections)
+
+
+def _read_split(reader):
+    """Read lines ``SERVICE WEIGHT``."""
+    shares = []
+    for line in reader.read_lines('split'):
+        service, _, weight = line.partition(' ')
+        try:
+            share = _routes.Share(service, float(weight))
+        except ValueError:
+            reader.add_fault('split', f'{line!r} is not SERVICE WEIGHT')
+            continue
+        if not 0 <= share.weight < float('inf'):
+            reader.add_fault('split', f'{weight} is not a weight')
+        shares.append(share)
+    if shares and not sum(share.weight for share in shares) > 0:
+        reader.add_fault('split', 'the weights add up to 0')
+    return tuple(shares)
+
+
+def _check_target(route, reader):
+    if route.target_latency_ms - route.deadline_ms >= MAX_TARGET_EXCESS_MS:
+        reader.add_fault('target_latency_ms', 'far above deadline_ms')
 
 
 def _read_route(name, reader):
@@ -199,9 +251,11 @@
     idempotency_key = reader.read_choice(
         'idempotency_key', ('optional', 'required'), 'optional'
     )
-    return _routes.Route(
+    split = _read_split(reader)
+    first = split[0].service if split else None
+    route = _routes.Route(
         name=name,
-        service=reader.read_name('service'),
+        service=reader.read_name('service', first),
         method=reader.read_choice('method', METHODS),
         path=path,
         is_open=access == 'open',
@@ -217,7 +271,14 @@
             'retries', DEFAULT_RETRIES, high=MAX_RETRIES
         ),
         needs_idempotency_key=idempotency_key == 'required',
+        host=reader.read_text('host', ''),
+        split=split,
+        target_latency_ms=reader.read_integer(
+            'target_latency_ms', 0, high=2 * MAX_DEADLINE_MS
+        ),
     )
+    _check_target(route, reader)
+    return route
 
 
 _READERS = {
@@ -242,10 +303,12 @@
     taken = {}
     for route in routes.values():
         section = f'route {route.name}'
-        if route.service and route.service not in services:
-            message = f'no section [service {route.service}]'
-            faults.append(ini.Fault(section, 'service', message))
-        other = taken.setdefault((route.method, route.path), route.name)
+        for service in route.services:
+            if service and service not in services:
+                message = f'no section [service {service}]'
+                faults.append(ini.Fault(section, 'service', message))
+        place = route.host, route.method, route.path
+        other = taken.setdefault(place, route.name)
         if other != route.name:
             message = f'same method and path as route {other}'
             faults.append(ini.Fault(section, 'path', message))
--- a/libs/model/src/cactusloft_model/_errors.py
+++ b/libs/model/src/cactusloft_model/_errors.py
@@ -67,7 +67,7 @@
     status: int
     title: str
     not_run: NotRun
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
 
 
 _K = ErrorKind
@@ -139,11 +139,13 @@
     :ivar kind: the :class:`ErrorKind`.
     :ivar detail: one sentence for a person, without secrets.
     :ivar not_run: overrides the claim of the table where more is known.
+    :ivar retry_after_s: overrides the seconds of the table.
     """
 
     kind: ErrorKind
     detail: str = ''
     not_run: NotRun | None = None
+    retry_after_s: float | None = None
 
     @property
     def answer(self):
@@ -153,9 +155,11 @@
         True
         """
         answer = ANSWERS[self.kind]
-        if self.not_run is None:
-            return answer
-        return attrs.evolve(answer, not_run=self.not_run)
+        if self.not_run is not None:
+            answer = attrs.evolve(answer, not_run=self.not_run)
+        if self.retry_after_s is not None:
+            answer = attrs.evolve(answer, retry_after_s=self.retry_after_s)
+        return answer
 
 
 class UserError(Exception):
--- a/libs/model/src/cactusloft_model/_routes.py
+++ b/libs/model/src/cactusloft_model/_routes.py
@@ -13,14 +13,27 @@
 WILDCARD = '/*'
 
 
+@attrs.frozen
+class Share:
+    """Part of a route's calls that goes to one service."""
+
+    service: str
+    weight: float
+
+
 @attrs.frozen
 class Route:
     """A class of requests and how they are treated.
 
+    :ivar service: service of the calls; the first one of a split.
     :ivar path: exact path, or a prefix that ends in ``/*``.
     :ivar is_open: whether no key is needed.
     :ivar retries: retries allowed over the whole chain of one root call.
     :ivar needs_idempotency_key: whether callers must send one.
+    :ivar host: name that callers address, empty for any.
+    :ivar split: :class:`Share` of each service, empty for one service.
+    :ivar target_latency_ms: time in which an answer has its full worth, 0
+        for the deadline.
     """
 
     name: str
@@ -34,6 +47,14 @@
     max_body_bytes: int
     retries: int
     needs_idempotency_key: bool
+    host: str = ''
+    split: tuple[Share, ...] = ()
+    target_latency_ms: int = 0
+
+    @property
+    def services(self):
+        """Return the names of the services that get its calls."""
+        return tuple(s.service for s in self.split) or (self.service,)
 
 
 class RouteIndex:
@@ -70,6 +91,17 @@
         return route
 
 
+def index_hosts(routes):
+    """Return an index of the routes of each host name.
+
+    :param routes: iterable of :class:`Route`.
+    """
+    by_host = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    return {host: RouteIndex(group) for host, group in by_host.items()}
+
+
 def index_services(routes):
     """Return an index of the routes of each service.
 
@@ -77,7 +109,8 @@
     """
     by_service = {}
     for route in routes.values():
-        by_service.setdefault(route.service, []).append(route)
+        for service in route.services:
+            by_service.setdefault(service, []).append(route)
     return {
         service: RouteIndex(group) for service, group in by_service.items()
     }
--- a/libs/model/src/cactusloft_model/clock.py
+++ b/libs/model/src/cactusloft_model/clock.py
@@ -1,6 +1,7 @@
-"""Hybrid logical clock that orders events over all daemons."""
+"""Clocks: the order of events over all daemons, and the time since boot."""
 
 from cactusloft_model._clock import HybridClock
+from cactusloft_model._clock import read_boot_time
 from cactusloft_model._clock import Stamp
 
-__all__ = ['HybridClock', 'Stamp']
+__all__ = ['HybridClock', 'Stamp', 'read_boot_time']
