Debit client accounts at one bucket for each call

The resident now debits each call at the bucket on the control leader, one request a host under way at a time, and returns what was not used. Without contact a host lives on a part of its share for 2.5 s.

--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -354,6 +354,19 @@
     leader: str
 
 
+@attrs.frozen
+class DebitReply:
+    """Reply to ``quota.DebitRequest``.
+
+    :ivar grants: a grant for each known account, or None when this daemon
+        gives none.
+    :ivar leader: replica id of the control leader, empty when not known.
+    """
+
+    grants: tuple[quota.AccountGrant, ...] | None
+    leader: str
+
+
 LEDGER_MESSAGES = (
     ledger.Reserve,
     ledger.Deny,
@@ -393,5 +406,7 @@
         47: ledger.CopyPage,
         50: quota.LeaseRequest,
         51: LeaseReply,
+        52: quota.DebitRequest,
+        53: DebitReply,
     }
 )
--- a/daemon/src/cactusloftd/_rates.py
+++ b/daemon/src/cactusloftd/_rates.py
@@ -8,7 +8,6 @@
 from returns import result
 
 from cactusloft_model import errors
-from cactusloft_model import events
 import cactusloft_quota as quota
 from cactusloftd import _calls
 from cactusloftd import _messages
@@ -45,20 +44,9 @@
     :param allocators: :class:`Allocators` of this daemon.
     :param now: function that returns monotonic seconds.
     :param metrics: :class:`_metrics.Metrics`.
-    :param wait_s: seconds for which a call waits for a token.
     """
 
-    def __init__(
-        self,
-        name,
-        boot,
-        view,
-        node,
-        allocators,
-        now,
-        metrics,
-        wait_s=WAIT_S,
-    ):
+    def __init__(self, name, boot, view, node, allocators, now, metrics):
         self._name = name
         self._boot = boot
         self._view = view
@@ -66,7 +54,6 @@
         self._allocators = allocators
         self._now = now
         self._metrics = metrics
-        self._wait_s = wait_s
         self._accounts = {}
         self._numbers = itertools.count()
         self._hint = ''
@@ -84,8 +71,7 @@
         account = self._accounts.get(name)
         if account is None:
             account = self._accounts[name] = self._make_account(name)
-        wait_s = min(self._wait_s, context.deadline - self._now())
-        return await account.admit(wait_s)
+        return await account.admit(context.deadline)
 
     def give_back(self, token):
         """Return the token of a call that is certainly not run."""
@@ -156,8 +142,8 @@
         """Tell whether the holder has a live lease."""
         return self._holder.is_leased(self._now())
 
-    async def admit(self, wait_s):
-        """Take a token, waiting ``wait_s`` seconds at most for one."""
+    async def admit(self, deadline):
+        """Take a token, waiting briefly for one."""
         now = self._now()
         self._holder.note_arrival(now)
         if not self._waiters:
@@ -171,6 +157,7 @@
         self._waiters.append(waiter)
         self._wake.set()
         try:
+            wait_s = min(WAIT_S, deadline - now)
             async with asyncio.timeout(wait_s):
                 debit = await asyncio.shield(waiter)
             return result.Success(Token(self, debit))
@@ -244,17 +231,16 @@
 
     :param view: :class:`_group.GroupView`.
     :param config: :class:`_config.Config`.
-    :param log: :class:`events.EventLog`.
+    :param leadership: :class:`_leadership.Leadership`.
     :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, view, config, log, now):
+    def __init__(self, view, config, leadership, now):
         self._view = view
         self._config = config
-        self._log = log
+        self._leadership = leadership
         self._now = now
         self._term = None
-        self._since = 0.0
         self._allocators = {}
 
     def is_limited(self, name):
@@ -265,14 +251,17 @@
     async def run(self):
         """Notice the start of a leadership, until cancelled."""
         while True:
-            self._leads()
+            self._leadership.is_confirmed()
             await asyncio.sleep(LEADER_POLL_S)
 
     async def answer(self, request, _age_s):
         """Grant a lease; the handler of ``LeaseRequest``."""
         group = self._view.read()
-        if not self._leads():
+        if not self._leadership.is_confirmed():
             return _messages.LeaseReply(None, group.leader)
+        if self._leadership.term != self._term:
+            self._term = self._leadership.term
+            self._allocators = {}
         own = self._view.replica.replica_id
         account = self._config.current.accounts.get(request.client_account)
         if account is None or not self._config.is_fresh():
@@ -286,28 +275,12 @@
         if allocator is None:
             name = f'{self._view.replica.replica_id}:{self._term}'
             allocator = quota.Allocator(
-                name, account.name, account.rate, account.burst, self._since
+                name,
+                account.name,
+                account.rate,
+                account.burst,
+                self._leadership.since,
             )
             self._allocators[account.name] = allocator
         allocator.set_limits(account.rate, account.burst, self._now())
         return allocator
-
-    def _leads(self):
-        """Tell whether this daemon leads and was confirmed just now.
-
-        Without the confirmation another leader may already have been elected
-        and count on the silence of this one.
-        """
-        replica = self._view.replica
-        if replica is None or not replica.is_leader:
-            self._term = None
-            return False
-        if replica.term != self._term:
-            self._term = replica.term
-            self._since = self._now()
-            self._allocators = {}
-            self._log.record(events.Event.ALLOCATOR_STARTED, term=self._term)
-        confirmed_at = replica.confirmed_at
-        if confirmed_at is None:
-            return False
-        return self._now() - confirmed_at < quota.CONFIRMATION_VALIDITY_S
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -28,6 +28,7 @@
 from cactusloftd import _guards
 from cactusloftd import _http
 from cactusloftd import _http_server
+from cactusloftd import _leadership
 from cactusloftd import _mark_relay
 from cactusloftd import _marks
 from cactusloftd import _members
@@ -150,7 +151,8 @@
         settings, log, node = self._settings, self._log, self._node
         view = _group.GroupView(self._plane.replica)
         self._plane.attach(_group.TABLE, view)
-        self._allocators = _rates.Allocators(view, config, log, now)
+        leadership = _leadership.Leadership(view, log, now)
+        self._allocators = _rates.Allocators(view, config, leadership, now)
         boot = str(self._incarnation)
         self._rates = _rates.Rates(
             settings.name,
--- /dev/null
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -0,0 +1,242 @@
+"""Debits of client accounts: holders at entries, buckets at the leader.
+
+A host has one request under way at a time. Calls that come meanwhile go with
+the next one, so the messages grow with the hosts and not with the calls.
+"""
+
+import asyncio
+import collections
+
+from returns import result
+
+from cactusloft_model import errors
+import cactusloft_quota as quota
+from cactusloftd import _calls
+from cactusloftd import _messages
+
+REQUEST_TIMEOUT_S = 0.2
+CONNECT_WAIT_S = 0.1
+FAILURE_PAUSE_S = 0.05
+# Unused tokens are returned with the next request, or alone after this time.
+RETURN_INTERVAL_S = 0.25
+LEADER_POLL_S = 0.1
+UNAVAILABLE_RETRY_S = 0.5
+_E = errors.ErrorKind
+
+
+class Debits:
+    """Debit the accounts of root calls.
+
+    :param name: name of this daemon.
+    :param view: :class:`_group.GroupView`.
+    :param config: :class:`_installed.Installed`.
+    :param node: :class:`link.Node`.
+    :param buckets: :class:`Buckets` of this daemon.
+    :param now: function that returns monotonic seconds.
+    :param metrics: :class:`_metrics.Metrics`.
+    """
+
+    def __init__(self, name, view, config, node, buckets, now, metrics):
+        self._name = name
+        self._view = view
+        self._config = config
+        self._node = node
+        self._buckets = buckets
+        self._now = now
+        self._metrics = metrics
+        self._holders = {}
+        self._waiting = collections.defaultdict(collections.deque)
+        self._wake = asyncio.Event()
+        self._has_contact = True
+        self._hint = ''
+
+    async def admit(self, context):
+        """Debit the account of a call.
+
+        :param context: :class:`calls.CallContext`.
+        :returns: ``Success(None)`` or ``Failure(CallError)``.
+        """
+        name = context.client_account
+        account = self._config.current.accounts.get(name)
+        if account is None or not account.rate:
+            return result.Success(None)
+        holder = self._find_holder(name)
+        holder.note_arrival()
+        if holder.take(self._now()):
+            return result.Success(None)
+        if not self._has_contact:
+            return self._admit_alone(account, holder)
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiting[name].append(waiter)
+        self._wake.set()
+        try:
+            retry_after_s = await waiter
+        except asyncio.CancelledError:
+            self._give_up(name, waiter)
+            raise
+        if retry_after_s is None:
+            return self._admit_alone(account, holder)
+        if retry_after_s:
+            return _calls.fail(
+                _E.RATE_EXCEEDED, '', errors.NotRun.TRUE, retry_after_s
+            )
+        return result.Success(None)
+
+    def give_back(self, context):
+        """Return the token of a call that is certainly not run."""
+        holder = self._holders.get(context.client_account)
+        if holder is not None:
+            holder.give_back()
+
+    async def run(self):
+        """Send debits whenever calls wait, until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(RETURN_INTERVAL_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                # What was not used is returned now.
+                pass
+            self._wake.clear()
+            await self._send()
+
+    async def _send(self):
+        now = self._now()
+        waiting, self._waiting = (
+            self._waiting,
+            collections.defaultdict(collections.deque),
+        )
+        names = [*waiting, *(n for n in self._holders if n not in waiting)]
+        debits = (
+            self._holders[name].make_debit(name, len(waiting[name]), now)
+            for name in names
+        )
+        debits = tuple(debit for debit in debits if debit is not None)
+        if not debits and self._has_contact:
+            return
+        reply = await self._ask(quota.DebitRequest(self._name, debits))
+        self._has_contact = reply is not None
+        self._metrics.count(
+            'cactusloft_rate_grants_total',
+            'unanswered' if reply is None else 'granted',
+        )
+        if reply is None:
+            _answer_all(waiting)
+            await asyncio.sleep(FAILURE_PAUSE_S)
+            return
+        for grant in reply.grants:
+            self._take_grant(grant, waiting.pop(grant.client_account, ()))
+        # Accounts that the leader does not know yet.
+        _answer_all(waiting)
+
+    def _take_grant(self, grant, waiters):
+        holder = self._holders[grant.client_account]
+        alive = [waiter for waiter in waiters if not waiter.done()]
+        tokens = holder.take_grant(grant, len(alive), self._now())
+        for index, waiter in enumerate(alive):
+            is_given = index < tokens
+            waiter.set_result(0.0 if is_given else grant.retry_after_s)
+
+    async def _ask(self, request):
+        """Return the :class:`_messages.DebitReply`, or None without one."""
+        group = self._view.read()
+        leader = group.find_voter(self._hint) or group.find_voter(group.leader)
+        if leader is None:
+            return None
+        replica = self._view.replica
+        if replica is not None and replica.replica_id == leader.replica_id:
+            reply = await self._buckets.answer(request, 0.0)
+        else:
+            peer = self._node.connect(leader.address)
+            if not await peer.wait_until_up(CONNECT_WAIT_S):
+                self._hint = ''
+                return None
+            answer = await peer.request(request, REQUEST_TIMEOUT_S)
+            reply = answer.value_or(_messages.DebitReply(None, ''))
+        self._hint = reply.leader
+        return reply if reply.grants is not None else None
+
+    def _admit_alone(self, account, holder):
+        """Admit a call without contact to the leader, if it may be."""
+        if holder.take_spare(account.rate, self._now()):
+            return result.Success(None)
+        return _calls.fail(
+            _E.RATE_UNAVAILABLE,
+            'no contact to the control leader',
+            errors.NotRun.TRUE,
+            UNAVAILABLE_RETRY_S,
+        )
+
+    def _give_up(self, name, waiter):
+        if not waiter.done() or waiter.cancelled():
+            return
+        if waiter.result() == 0.0:
+            self._holders[name].give_back()
+
+    def _find_holder(self, name):
+        holder = self._holders.get(name)
+        if holder is None:
+            holder = self._holders[name] = quota.DebitHolder(self._now())
+        return holder
+
+
+class Buckets:
+    """The buckets of all accounts, on the control leader.
+
+    :param leadership: :class:`_leadership.Leadership`.
+    :param view: :class:`_group.GroupView`.
+    :param config: :class:`_installed.Installed`.
+    :param now: function that returns monotonic seconds.
+    """
+
+    def __init__(self, leadership, view, config, now):
+        self._leadership = leadership
+        self._view = view
+        self._config = config
+        self._now = now
+        self._term = None
+        self._buckets = {}
+
+    async def run(self):
+        """Notice the start of a leadership, until cancelled."""
+        while True:
+            self._leadership.is_confirmed()
+            await asyncio.sleep(LEADER_POLL_S)
+
+    async def answer(self, request, _age_s):
+        """Grant tokens; the handler of ``DebitRequest``."""
+        leadership = self._leadership
+        if not leadership.is_confirmed() or not self._config.is_fresh():
+            return _messages.DebitReply(None, self._view.read().leader)
+        if leadership.term != self._term:
+            self._term = leadership.term
+            self._buckets = {}
+        grants = (self._debit(request.holder, d) for d in request.debits)
+        return _messages.DebitReply(
+            tuple(grant for grant in grants if grant is not None),
+            self._view.replica.replica_id,
+        )
+
+    def _debit(self, holder, debit):
+        account = self._config.current.accounts.get(debit.client_account)
+        if account is None or not account.rate:
+            return None
+        now = self._now()
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            bucket = self._buckets[account.name] = quota.CentralBucket(
+                account.rate, account.burst, self._leadership.since, now
+            )
+        bucket.set_limits(account.rate, account.burst, now)
+        return quota.AccountGrant(
+            account.name,
+            *bucket.debit(holder, debit.wanted, debit.returned, now),
+        )
+
+
+def _answer_all(waiting):
+    """Let calls know that there was no answer for them."""
+    for waiters in waiting.values():
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -48,7 +48,7 @@
     :param config: :class:`_installed.Installed`.
     :param owner: the local :class:`_owner.Owner`.
     :param members: :class:`_members.Members`.
-    :param rates: :class:`_rates.Rates`.
+    :param debits: :class:`_debits.Debits`.
     :param marks: :class:`_marks.Marks`.
     :param log: :class:`events.EventLog`.
     :param metrics: :class:`_metrics.Metrics`.
@@ -61,7 +61,7 @@
         config,
         owner,
         members,
-        rates,
+        debits,
         marks,
         log,
         metrics,
@@ -71,7 +71,7 @@
         self._config = config
         self._owner = owner
         self._members = members
-        self._rates = rates
+        self._debits = debits
         self._marks = marks
         self._log = log
         self._metrics = metrics
@@ -164,13 +164,13 @@
         checked = self._marks.check(call.context.fingerprint)
         if not pipeline.is_successful(checked):
             return checked
-        admitted = await self._rates.admit(call.context)
+        admitted = await self._debits.admit(call.context)
         if not pipeline.is_successful(admitted):
             return admitted
         outcome = await self._try_owners(call, 1 + route.retries)
         is_failure = isinstance(outcome, result.Failure)
         if is_failure and _is_not_run(outcome.failure()):
-            self._rates.give_back(admitted.unwrap())
+            self._debits.give_back(call.context)
         return outcome
 
     async def _try_owners(self, call, most_runs):
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -21,23 +21,21 @@
 from cactusloftd import _control_plane
 from cactusloftd import _group
 from cactusloftd import _http
+from cactusloftd import _leadership
 from cactusloftd import _mark_relay
 from cactusloftd import _marks
 from cactusloftd import _members
 from cactusloftd import _messages
 from cactusloftd import _metrics
 from cactusloftd import _peers
-from cactusloftd import _rates
 from cactusloftd import _registrations
+from cactusloftd.resident import _debits
 from cactusloftd.resident import _entry
 from cactusloftd.resident import _group_entry
 from cactusloftd.resident import _line_log
 from cactusloftd.resident import _owner
 
 STANDARD_OUTPUT = 1
-# Calls wait this long for a token of their account. A refusal that comes
-# later has held its caller up for nothing.
-RATE_WAIT_S = 0.04
 REPORT_INTERVAL_S = 1.0
 SHUTDOWN_POLL_S = 0.02
 # Callers notice within this time that the host takes no new work.
@@ -158,17 +156,21 @@
 
     def start(self):
         """Start serving peers and keep what is shared with them current."""
-        self._node.handle_requests(quota.LeaseRequest, self._allocators.answer)
+        self._node.handle_requests(quota.DebitRequest, self._buckets.answer)
         self._plane.start()
         self._node.listen(self._settings.listeners.peers)
-        jobs = [self._allocators.run()]
+        jobs = [self._buckets.run()]
         if self._plane.replica is not None:
             entry = _group_entry.GroupEntry(
                 self._plane, self._site.is_founder, self.log
             )
             jobs += [entry.run(), self._registrations.run()]
         if self._site.backend_server:
-            jobs += [self._keep_registered(), self._marks.run()]
+            jobs += [
+                self._keep_registered(),
+                self._marks.run(),
+                self._debits.run(),
+            ]
         self._tasks = [asyncio.create_task(job) for job in jobs]
         self.log.record(
             _V.DAEMON_STARTED,
@@ -212,7 +214,6 @@
         """Stop all parts."""
         for task in self._tasks:
             task.cancel()
-        self._rates.close()
         if self._site.backend_server:
             self._owner.close()
         await self._plane.close()
@@ -232,18 +233,18 @@
         plane, settings = self._plane, self._settings
         view = _group.GroupView(plane.replica)
         plane.attach(_group.TABLE, view)
-        self._allocators = _rates.Allocators(
-            view, plane.installed, self.log, self._now
+        leadership = _leadership.Leadership(view, self.log, self._now)
+        self._buckets = _debits.Buckets(
+            leadership, view, plane.installed, self._now
         )
-        self._rates = _rates.Rates(
+        self._debits = _debits.Debits(
             settings.name,
-            str(self._incarnation),
             view,
+            plane.installed,
             self._node,
-            self._allocators,
+            self._buckets,
             self._now,
             self.metrics,
-            RATE_WAIT_S,
         )
         self._mark_relay = _mark_relay.MarkRelay(
             settings, self._incarnation, self._node, self._now
@@ -297,7 +298,7 @@
             plane.installed,
             self._owner,
             members,
-            self._rates,
+            self._debits,
             self._marks,
             self.log,
             self.metrics,
@@ -357,7 +358,6 @@
         observe = self.metrics.observe_number
         installed = self._plane.installed
         observe('cactusloft_open_exchanges', lambda: self.exchanges.count)
-        observe('cactusloft_rate_leases', self._rates.count_leases)
         observe(
             'cactusloft_document_version', lambda: installed.version.number
         )
--- /dev/null
+++ b/daemon/tests/resident/test_splits.py
@@ -0,0 +1,48 @@
+"""Tests of traffic splits."""
+
+import collections
+
+import attrs
+import pytest
+
+from cactusloft_model import document
+from cactusloftd.resident import _splits
+
+TEXT = """
+[service a]
+[service b]
+[service c]
+[route r]
+host = h.example
+method = ANY
+path = /x/*
+idempotent = yes
+split = a 90
+    b 10
+"""
+
+
+def make_route(*weights):
+    """Return a route with these weights."""
+    route = document.parse_document(TEXT).unwrap().routes['r']
+    shares = (document.Share(n, w) for n, w in zip('abc', weights))
+    return attrs.evolve(route, split=tuple(shares))
+
+
+@pytest.mark.parametrize('weights', [(90, 10), (1, 1, 1), (50, 0, 50)])
+def test_parts_get_their_weights(weights):
+    """Each part gets its share of a few hundred calls, and 0 gets none."""
+    splits = _splits.Splits()
+    route = make_route(*weights)
+    counts = collections.Counter(splits.choose(route) for _ in range(300))
+    for name, weight in zip('abc', weights):
+        assert abs(counts[name] - 300 * weight / sum(weights)) <= 1
+
+
+def test_changed_weights_begin_anew():
+    """A part that was taken out gets nothing from the version before."""
+    splits = _splits.Splits()
+    for _ in range(7):
+        splits.choose(make_route(1, 99))
+    chosen = {splits.choose(make_route(100, 0)) for _ in range(50)}
+    assert chosen == {'a'}
--- /dev/null
+++ b/libs/quota/tests/test_debits.py
@@ -0,0 +1,103 @@
+"""Tests of debits at the one bucket of an account."""
+
+import random
+
+import pytest
+
+import cactusloft_quota as quota
+
+RATE, BURST = 57.0, 57.0
+WINDOW_S = 5.0
+# What the operators allow beyond rate and burst in a window.
+OVER, SLACK = 0.1, 20
+
+
+def make_bucket(now=0.0, since=-100.0):
+    """Return a bucket that is full."""
+    return quota.CentralBucket(RATE, BURST, since, now)
+
+
+def test_bucket_gives_no_more_than_it_holds():
+    """A host that asks for more than there is must not get it."""
+    tokens, _, retry_after_s = make_bucket().debit('h', 500, 0, 0.0)
+    assert tokens == BURST
+    assert retry_after_s > 0
+
+
+def test_new_leader_gives_no_burst_twice():
+    """A failover must not hand out the burst of the former leader again."""
+    bucket = quota.CentralBucket(RATE, BURST, 10.0, 10.0)
+    assert bucket.debit('h', 50, 0, 10.0)[0] <= 1
+
+
+def test_returned_tokens_never_exceed_the_burst():
+    """Tokens that come back late must not grow the bucket."""
+    bucket = make_bucket()
+    bucket.debit('h', 0, 30, 0.0)
+    assert bucket.debit('h', 500, 0, 0.0)[0] == BURST
+
+
+def test_lower_limits_bind_at_once():
+    """A lowered burst must not be outlived by tokens from before."""
+    bucket = make_bucket()
+    bucket.set_limits(5.0, 5.0, 0.0)
+    assert bucket.debit('h', 50, 0, 0.0)[0] == 5
+
+
+def test_share_follows_the_demand():
+    """A host cut off from the leader lives on its own share only."""
+    bucket = make_bucket()
+    bucket.debit('a', 30, 0, 0.0)
+    _, share, _ = bucket.debit('b', 10, 0, 0.0)
+    assert share == pytest.approx(0.25)
+
+
+def test_holder_without_contact_stops():
+    """A host that stays cut off must not use its share for ever."""
+    holder = quota.DebitHolder(0.0)
+    grant = quota.AccountGrant('a', 1, 1.0, 0.0)
+    holder.take_grant(grant, 1, 0.0)
+    taken = [holder.take_spare(RATE, t / 100) for t in range(1000)]
+    used = sum(taken)
+    assert 0 < used <= RATE * 2.5
+    assert not any(taken[260:])
+
+
+def test_unused_tokens_are_returned():
+    """Tokens fetched for calls that did not come must not be lost."""
+    holder = quota.DebitHolder(0.0)
+    holder.take_grant(quota.AccountGrant('a', 5, 1.0, 0.0), 1, 0.0)
+    debit = holder.make_debit('a', 0, 1.0)
+    assert debit.returned == 4
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_hosts_together_keep_to_rate_and_burst(seed):
+    """Lost replies, idle hosts and fetched tokens must not add up."""
+    rng = random.Random(seed)
+    bucket = make_bucket()
+    holders = {name: quota.DebitHolder(0.0) for name in 'abcdefgh'}
+    runs = []
+    now = 0.0
+    while now < 20.0:
+        now += rng.expovariate(200.0)
+        name = rng.choice('aaaabbcdefgh')
+        holder = holders[name]
+        holder.note_arrival()
+        if holder.take(now):
+            runs.append(now)
+            continue
+        debit = holder.make_debit('x', 1, now)
+        grant = quota.AccountGrant(
+            'x', *bucket.debit(name, debit.wanted, debit.returned, now)
+        )
+        if rng.random() < 0.05:
+            continue
+        if holder.take_grant(grant, 1, now):
+            runs.append(now)
+    limit = (RATE * WINDOW_S + BURST) * (1 + OVER) + SLACK
+    for start in runs:
+        count = sum(start <= at < start + WINDOW_S for at in runs)
+        assert count <= limit
+    # The rate is used, too: what is owed is served.
+    assert len(runs) >= 0.9 * RATE * 20.0
