--- /dev/null
+++ b/daemon/tests/resident/test_entry.py
@@ -0,0 +1,297 @@
+"""Tests of the entry's decisions on one attempt of a client."""
+
+import asyncio
+import types
+
+import pytest
+from returns import pipeline
+from returns import result
+
+from cactusloft_model import document
+from cactusloft_model import errors
+from cactusloft_model import keys
+from cactusloftd import _calls
+from cactusloftd import _metrics
+from cactusloftd.resident import _entry
+from cactusloftd.resident import protocol
+
+_E = errors.ErrorKind
+_N = errors.NotRun
+TEXT = f"""
+[client_account estates]
+rate = 50
+burst = 50
+key_hashes = {keys.hash_key('good')}
+[service stock]
+[service track]
+[route read]
+host = one.example
+method = ANY
+path = /read/*
+service = stock
+idempotent = yes
+retries = 1
+deadline_ms = 300
+target_latency_ms = 200
+[route order]
+host = one.example
+method = ANY
+path = /order/*
+service = stock
+idempotent = no
+retries = 1
+deadline_ms = 300
+[route inner]
+host = one.example
+method = ANY
+path = /inner/*
+service = track
+access = open
+idempotent = yes
+"""
+
+
+class Config:
+    """A document in force."""
+
+    version = types.SimpleNamespace(number=1)
+    age_s = 0.1
+
+    def __init__(self, is_fresh=True):
+        self.current = document.parse_document(TEXT).unwrap()
+        self._is_fresh = is_fresh
+
+    def is_fresh(self):
+        return self._is_fresh
+
+
+class Member:
+    """An owner elsewhere, with what it will answer."""
+
+    def __init__(self, name, outcome):
+        self.name = name
+        self.outcome = outcome
+        self.calls = []
+
+    async def run(self, call):
+        self.calls.append(call)
+        if self.outcome is None:
+            await asyncio.sleep(10)
+        return self.outcome
+
+
+class Members:
+    """Owners in the order in which they are chosen."""
+
+    def __init__(self, members):
+        self._members = members
+
+    async def prepare(self, service):
+        pass
+
+    def choose(self, service, excluded):
+        left = (m for m in self._members if m.name not in excluded)
+        return next(left, None)
+
+    def make_runner(self, member):
+        return member
+
+    def note_outcome(self, service, name, is_failed):
+        pass
+
+
+class Debits:
+    """Accounts with as many tokens as they need."""
+
+    given_back = 0
+
+    async def admit(self, context):
+        return result.Success(None)
+
+    def give_back(self, context):
+        self.given_back += 1
+
+
+class Log:
+    """A log that keeps the names of the events."""
+
+    def __init__(self):
+        self.events = []
+
+    def record(self, event, **fields):
+        self.events.append(event.name)
+
+
+def make_entry(*members, is_fresh=True):
+    """Return an entry whose owners are ``members``."""
+    clock = asyncio.get_event_loop().time
+    marks = types.SimpleNamespace(check=lambda name: result.Success(None))
+    owner = types.SimpleNamespace(service='other', is_serving=True)
+    owner.admission = None
+    debits = Debits()
+    entry = _entry.Entry(
+        types.SimpleNamespace(name='here'),
+        Config(is_fresh),
+        owner,
+        Members(members),
+        debits,
+        marks,
+        Log(),
+        _metrics.Metrics(),
+        clock,
+    )
+    entry.debits = debits
+    return entry
+
+
+def make_request(path='/read/1', key='good', deadline_ms=5000):
+    """Return a request of a client."""
+    return protocol.Request(
+        'a1', 'GET', 'one.example', path, key, deadline_ms, (), b''
+    )
+
+
+def succeed(status=200):
+    """Return the outcome of a call that was answered."""
+    return result.Success(
+        _calls.Response(
+            status, (), 0, _calls.iterate_once(b''), _calls.close_nothing
+        )
+    )
+
+
+LOST = _calls.fail(_E.BACKEND_SERVER_FAILED, 'connection lost')
+UNREACHED = _calls.fail(_E.BACKEND_SERVER_FAILED, 'refused', _N.TRUE)
+SHED = _calls.fail(_E.OVERLOADED, 'shed by the backend server')
+FULL = _calls.fail(_E.OVERLOADED, 'no slot in time')
+GONE = _calls.fail(_E.NO_BACKEND_SERVER, 'not serving')
+
+
+def serve(members, request=None, is_fresh=True):
+    """Serve a request and return outcome and entry."""
+
+    async def run():
+        entry = make_entry(*members, is_fresh=is_fresh)
+        return await entry.serve(request or make_request(), 'track'), entry
+
+    return asyncio.run(run())
+
+
+def make_members(*outcomes):
+    """Return owners with these outcomes."""
+    return [Member(f'm{i}', o) for i, o in enumerate(outcomes)]
+
+
+def test_order_that_may_have_run_is_sent_to_nobody_else():
+    """An order must not run twice."""
+    members = make_members(LOST, succeed())
+    outcome, _ = serve(members, make_request('/order/1'))
+    error = outcome.failure()
+    assert not members[1].calls
+    assert error.answer.status == 502
+    assert error.answer.not_run is _N.UNKNOWN
+
+
+@pytest.mark.parametrize('first', [UNREACHED, SHED, FULL, GONE])
+def test_order_that_did_not_run_may_go_elsewhere(first):
+    """A certain refusal costs the client nothing while others have room."""
+    members = make_members(first, succeed())
+    outcome, _ = serve(members, make_request('/order/1'))
+    assert pipeline.is_successful(outcome)
+
+
+def test_refusal_after_a_lost_run_does_not_claim_not_run():
+    """A refusal that says "not run" is true of the whole attempt."""
+    members = make_members(LOST, GONE, GONE)
+    outcome, entry = serve(members)
+    assert outcome.failure().answer.not_run is _N.UNKNOWN
+    assert outcome.failure().answer.status == 502
+    assert entry.debits.given_back == 0
+
+
+def test_lost_read_is_repeated_once():
+    """A read may run again, at most as often as its route allows."""
+    members = make_members(LOST, LOST, succeed())
+    outcome, _ = serve(members)
+    assert not pipeline.is_successful(outcome)
+    assert not members[2].calls
+
+
+def test_failed_answer_of_a_read_is_repeated():
+    """A backend server that fails calls must not fail the client."""
+    outcome, _ = serve(make_members(succeed(500), succeed(200)))
+    assert outcome.unwrap().status == 200
+
+
+def test_failed_answer_is_passed_on_when_a_repeat_does_no_better():
+    """The client gets the backend server's own words."""
+    outcome, _ = serve(make_members(succeed(500), GONE, GONE))
+    assert outcome.unwrap().status == 500
+
+
+def test_silent_owner_ends_at_the_timeout_of_the_route():
+    """A client must not wait longer than the operator wants."""
+    outcome, _ = serve(make_members(None))
+    assert outcome.failure().kind is _E.DEADLINE_EXCEEDED
+    assert outcome.failure().answer.status == 504
+
+
+def test_refusal_says_when_to_come_back():
+    """A client that was refused in time may still be served."""
+    outcome, entry = serve(make_members(FULL, FULL, FULL))
+    answer = outcome.failure().answer
+    assert answer.not_run is _N.TRUE
+    assert answer.retry_after_s == _entry.RETRY_AFTER_S
+    assert entry.debits.given_back == 1
+
+
+@pytest.mark.parametrize(
+    'request_, is_fresh, kind',
+    [
+        (make_request('/none/1'), True, _E.NO_ROUTE),
+        (make_request('/none/1'), False, _E.CONFIG_STALE),
+        (make_request(key='bad'), True, _E.UNAUTHENTICATED),
+        (make_request(key='bad'), False, _E.CONFIG_STALE),
+        (make_request(key=''), True, _E.UNAUTHENTICATED),
+        (make_request(), False, _E.CONFIG_STALE),
+    ],
+)
+def test_unconfirmed_document_denies_nothing_for_good(
+    request_, is_fresh, kind
+):
+    """What is not sure is refused for now; 401 and 404 end an attempt."""
+    outcome, _ = serve(make_members(succeed()), request_, is_fresh)
+    assert outcome.failure().kind is kind
+
+
+def test_open_route_needs_no_confirmation():
+    """Nested calls go on while the control group is away."""
+    members = make_members(succeed())
+    outcome, _ = serve(members, make_request('/inner/1', key=''), False)
+    assert pipeline.is_successful(outcome)
+    context = members[0].calls[0].context
+    assert context.client_account == ''
+
+
+def test_key_decides_on_the_account():
+    """A request runs for the account whose key came with it."""
+    members = make_members(succeed())
+    serve(members)
+    call = members[0].calls[0]
+    assert call.context.client_account == 'estates'
+    assert call.caller_service == 'track'
+    assert call.context.call_id == 'a1'
+
+
+def test_repeats_have_a_budget():
+    """A service that fails every call must not get twice the calls."""
+
+    async def run():
+        members = make_members(LOST, LOST)
+        entry = make_entry(*members)
+        for _ in range(50):
+            await entry.serve(make_request(), 'track')
+        return members
+
+    members = asyncio.run(run())
+    assert len(members[1].calls) == _entry.REPEAT_RESERVE
