--- a/libs/quota/src/cactusloft_quota/_debits.py
+++ b/libs/quota/src/cactusloft_quota/_debits.py
@@ -29,6 +29,10 @@
 # Refused callers are told to come back after the next token at the earliest.
 LEAST_RETRY_S = 0.1
 MOST_RETRY_S = 2.0
+# A lower limit counts this long after it was set: until it is known
+# everywhere, clients are owed what the limit before gave them. The operators
+# count a window of 5 s, begun 2 s after the change, as the last one under it.
+LOWERING_DELAY_S = 5.0
 
 
 @attrs.frozen
@@ -84,13 +88,19 @@
         self._filled_at = since
         self._demands = {}
         self._decayed_at = now
+        self._lower = None
 
     def set_limits(self, rate, burst, now):
-        """Change rate and burst."""
+        """Change rate and burst; lower ones count after a while."""
         self._fill(now)
-        self._rate = rate
-        self._burst = burst
-        self._level = min(self._level, burst)
+        if rate >= self._rate and burst >= self._burst:
+            self._lower = None
+            self._apply(rate, burst)
+            return
+        if self._lower is None or self._lower[:2] != (rate, burst):
+            self._lower = rate, burst, now + LOWERING_DELAY_S
+        # What grew counts at once.
+        self._apply(max(rate, self._rate), max(burst, self._burst))
 
     def debit(self, holder, wanted, returned, now):
         """Take tokens for a holder.
@@ -109,7 +119,19 @@
             retry_after_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, missing))
         return tokens, share, retry_after_s
 
+    def _apply(self, rate, burst):
+        self._rate = rate
+        self._burst = burst
+        self._level = min(self._level, burst)
+
     def _fill(self, now):
+        if self._lower is not None and now >= self._lower[2]:
+            self._earn(self._lower[2])
+            self._apply(*self._lower[:2])
+            self._lower = None
+        self._earn(now)
+
+    def _earn(self, now):
         earned = max(0.0, now - self._filled_at) * self._rate
         self._level = min(self._burst, self._level + earned)
         self._filled_at = max(now, self._filled_at)
