Refuse calls whose nested calls would be refused; close listeners in time

Each owner now cuts the routes whose runs fail while nested calls are refused for overload, less urgent ones first.

Cause, five processes killed at the end of their grace: closing a listener waited for kept connections. Owners whose link is down are asked last, instead of waiting 0.3 s for each.

--- a/daemon/src/cactusloftd/_http_server.py
+++ b/daemon/src/cactusloftd/_http_server.py
@@ -18,6 +18,8 @@
 # Also ends connections that never complete a request head.
 IDLE_TIMEOUT_S = 75.0
 LINGER_S = 1.0
+# Requests in progress have had their time when a listener is closed.
+CLOSE_S = 0.1
 # Operators may allow large heads; the library's own bound is 8 KiB.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_TRACE_FRAMES = 3
@@ -32,7 +34,9 @@
     :param log: :class:`events.EventLog`.
     :returns: the runner, to be cleaned up.
     """
-    runner = web.ServerRunner(HttpServer(handler, log))
+    runner = web.ServerRunner(
+        HttpServer(handler, log), shutdown_timeout=CLOSE_S
+    )
     await runner.setup()
     address, _, port = endpoint.rpartition(':')
     site = web.TCPSite(runner, address, int(port))
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -157,13 +157,18 @@
         :param excluded: names of daemons that are not to be chosen.
         """
         chooser = self._view.find_chooser(service)
+        now = self._now()
         suspects = (
             member.name
             for member in chooser.members
-            if self.connect(member).silence_s > SUSPECT_SILENCE_S
+            if self._is_suspect(self.connect(member))
         )
-        excluded = {*excluded, *suspects}
-        return chooser.choose(self._now(), excluded)
+        chosen = chooser.choose(now, {*excluded, *suspects})
+        # A link that is just being made is better than none.
+        return chosen or chooser.choose(now, excluded)
+
+    def _is_suspect(self, peer):
+        return not peer.is_up or peer.silence_s > SUSPECT_SILENCE_S
 
     def note_outcome(self, service, name, is_failed):
         """Take note of how the backend server of a member did."""
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -16,6 +16,7 @@
 from cactusloft_model import events
 from cactusloft_retry import budgets
 from cactusloftd import _calls
+from cactusloftd.resident import _owner
 from cactusloftd.resident import _splits
 
 # Owners asked for one call while each refuses before its backend server saw
@@ -103,6 +104,8 @@
             self._now() - arrived_at,
             call.context.service,
         )
+        if not account:
+            self._owner.note_nested(outcome)
         if isinstance(outcome, result.Failure):
             self._note_refusal(request, outcome.failure(), arrived_at, call)
         else:
@@ -264,8 +267,11 @@
                 return False
             if is_not_run and error.kind in _FREE_KINDS:
                 return True
-            if is_not_run and error.detail == 'no slot in time':
+            if is_not_run and error.detail == _owner.NO_SLOT:
                 return True
+            if is_not_run and error.detail == _owner.NESTED_REFUSED:
+                # The other owners see the same services below.
+                return False
             attempt.runs += 1
             if not budgets.may_resend(
                 context.idempotent, error.answer.not_run
