Keep a resident's promises at its stop, and its group without dead members

A stopping resident refuses new connections once callers have noticed, so that the calls in progress can end within its grace. A host without any document refuses for now instead of denying. A replica whose disk failed starts again.

--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -118,7 +118,7 @@
         route = document.find_route(request.method, request.path, request.host)
         if route is None:
             # Without a confirmed document the route may only be unknown.
-            if not self._config.is_fresh():
+            if not self._is_known():
                 return _calls.fail(_E.CONFIG_STALE)
             return _calls.fail(_E.NO_ROUTE)
         if route.is_open:
@@ -130,6 +130,10 @@
             return _calls.fail(_E.UNAUTHENTICATED)
         return result.Success((route, account.name))
 
+    def _is_known(self):
+        """Tell whether there is a document that is confirmed."""
+        return self._config.version.number > 0 and self._config.is_fresh()
+
     def _make_call(self, request, route, account, caller_service):
         limit_ms = route.deadline_ms
         if request.deadline_ms is not None:
@@ -389,12 +393,12 @@
         if self.may_have_run and _is_not_run(error):
             # An earlier run of the same attempt may have happened.
             return _calls.fail(_E.OUTCOME_UNKNOWN, error.detail)
+        if _is_not_run(error) and error.kind is _E.BACKEND_SERVER_FAILED:
+            # An order may come again only after a refusal that promises.
+            error = errors.CallError(_E.NO_BACKEND_SERVER, error.detail)
         if _is_not_run(error) and error.retry_after_s is None:
-            retry_after_s = RETRY_AFTER_S
-            return result.Failure(
-                attrs.evolve(error, retry_after_s=retry_after_s)
-            )
-        return outcome
+            error = attrs.evolve(error, retry_after_s=RETRY_AFTER_S)
+        return result.Failure(error)
 
 
 def _is_not_run(error):
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -40,6 +40,9 @@
 SHUTDOWN_POLL_S = 0.02
 # Callers notice within this time that the host takes no new work.
 NOTICE_S = 2.5
+FAILURE_POLL_S = 0.5
+# Keeps a disk that goes on failing from restarting the process in a loop.
+RESTART_PAUSE_S = 3.0
 # A document confirmed within this time may be read back as the newest.
 READ_AGE_S = 1.0
 # What the stop of a process itself takes, out of the grace that it has.
@@ -115,7 +118,9 @@
     @property
     def is_ready(self):
         """Tell whether callers should send new work here."""
-        return not self._is_stopping and self._plane.installed.is_fresh()
+        installed = self._plane.installed
+        is_known = installed.version.number > 0 and installed.is_fresh()
+        return not self._is_stopping and is_known
 
     @property
     def is_stopping(self):
@@ -162,7 +167,10 @@
         jobs = [self._buckets.run()]
         if self._plane.replica is not None:
             entry = _group_entry.GroupEntry(
-                self._plane, self._site.is_founder, self.log
+                self._plane,
+                self._site.is_founder,
+                self._settings.least_voters,
+                self.log,
             )
             jobs += [entry.run(), self._registrations.run()]
         if self._site.backend_server:
@@ -196,8 +204,22 @@
         """Log that changed settings cannot be used."""
         self.log.record(_V.SETTINGS_RELOADED, failure=reason)
 
-    async def shut_down(self):
-        """Take no new work and wait for what is in progress."""
+    async def wait_for_failure(self):
+        """Wait until this process has to start again to go on.
+
+        A replica whose disk failed once knows no more what is on it.
+        """
+        replica = self._plane.replica
+        while replica is None or not replica.failure:
+            await asyncio.sleep(FAILURE_POLL_S)
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+    async def shut_down(self, stop_listening):
+        """Take no new work and wait for what is in progress.
+
+        :param stop_listening: coroutine function that refuses new
+            connections, called once callers have noticed.
+        """
         self._is_stopping = True
         self.log.record(
             _V.DAEMON_STOPPING, open_exchanges=self.exchanges.count
@@ -206,8 +228,11 @@
         if self._site.backend_server:
             self._owner.stop()
             await self._members.report_now()
+            noticed_at = started_at + NOTICE_S
+            await asyncio.sleep(max(0.0, noticed_at - self._now()))
+        await stop_listening()
         limit = started_at + self._settings.shutdown_grace_s - EXIT_S
-        while self._now() < limit and self._is_busy(started_at):
+        while self._now() < limit and self._is_busy():
             await asyncio.sleep(SHUTDOWN_POLL_S)
 
     async def close(self):
@@ -221,12 +246,9 @@
         self._node.close()
         self.log.record(_V.DAEMON_STOPPED, open_exchanges=self.exchanges.count)
 
-    def _is_busy(self, started_at):
-        if self._site.backend_server:
-            if self._now() < started_at + NOTICE_S:
-                return True
-            return bool(self.exchanges.count or self._owner.held)
-        return bool(self.exchanges.count)
+    def _is_busy(self):
+        held = self._owner.held if self._site.backend_server else 0
+        return bool(self.exchanges.count or held)
 
     def _attach_group(self):
         """Follow the control group and what it grants."""
--- a/daemon/tests/resident/test_entry.py
+++ b/daemon/tests/resident/test_entry.py
@@ -230,6 +230,13 @@
     assert outcome.unwrap().status == 500
 
 
+def test_order_that_reached_nobody_may_come_again():
+    """Clients repeat an order only after a refusal that promises."""
+    outcome, _ = serve(make_members(UNREACHED), make_request('/order/1'))
+    answer = outcome.failure().answer
+    assert (answer.status, answer.not_run) == (503, _N.TRUE)
+
+
 def test_silent_owner_ends_at_the_timeout_of_the_route():
     """A client must not wait longer than the operator wants."""
     outcome, _ = serve(make_members(None))
--- a/libs/consensus/src/cactusloft_consensus/_node.py
+++ b/libs/consensus/src/cactusloft_consensus/_node.py
@@ -139,6 +139,16 @@
         progress = self._leadership.progress
         return {name: entry.match for name, entry in progress.items()}
 
+    def list_silent(self, silence_s):
+        """Return the members that were silent, on the leader only.
+
+        :param silence_s: seconds without an answer to a heartbeat.
+        """
+        if not self.is_ready:
+            return []
+        rounds = int(silence_s / self._timing.heartbeat)
+        return self._leadership.list_silent(rounds)
+
     def bootstrap(self, address):
         """Make this replica, which must be new, a group of one.
 
--- a/libs/consensus/src/cactusloft_consensus/_progress.py
+++ b/libs/consensus/src/cactusloft_consensus/_progress.py
@@ -17,6 +17,7 @@
     :ivar acked_round: latest heartbeat round that it acknowledged.
     :ivar echo: token of its latest reply.
     :ivar snapshot_sent_at: monotonic seconds, or None while none is sent.
+    :ivar first_round: heartbeat round at which it became a member here.
     """
 
     match: int
@@ -24,6 +25,7 @@
     acked_round: int = 0
     echo: int = 0
     snapshot_sent_at: float | None = None
+    first_round: int = 0
 
     def is_snapshot_pending(self, now):
         """Tell whether a snapshot may still be on its way."""
@@ -63,10 +65,19 @@
         known = self.progress
         self.progress = {
             member.replica_id: known.get(member.replica_id)
-            or Progress(0, last_index + 1)
+            or Progress(0, last_index + 1, first_round=self._round_id)
             for member in members
         }
 
+    def list_silent(self, rounds):
+        """Return the members that acknowledged none of the last rounds."""
+        oldest = self._round_id - rounds
+        return [
+            replica_id
+            for replica_id, progress in self.progress.items()
+            if max(progress.acked_round, progress.first_round) < oldest
+        ]
+
     def find_majority(self, members, read_value):
         """Return the highest value that a majority of voters reached."""
         values = sorted(
