Choose owners by latency too, and tell new daemons the members known so far

Latency of each member against the mean of the same kind of call now weighs its load, and is forgotten in seconds.

After a start of all control hosts, members were told only 3 s after the first confirmation. A daemon that has just started takes a part of them.

--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -48,6 +48,7 @@
         self._asked_at = {}
         self._is_answered = asyncio.Event()
         self._reported = 0
+        self._is_settled = False
         self._acknowledged = 0
         self.find_home = lambda: None
         self.on_report_due = lambda: None
@@ -92,12 +93,15 @@
             del self._asked_at[service]
         registration = self._describe()
         self._reported = registration.sequence
-        report = _messages.MembersReport(registration, services)
+        report = _messages.MembersReport(
+            registration, services, not self._is_settled
+        )
         return msgspec.msgpack.encode(report)
 
     def take_table(self, content):
         """Take the members of the services in use."""
         table = msgspec.msgpack.decode(content, type=_messages.MembersTable)
+        self._is_settled = self._is_settled or table.is_settled
         self._view.update(table.services, table.members, self._now())
         self._answered.update(table.services)
         self._acknowledged = max(self._acknowledged, table.sequence)
@@ -174,6 +178,10 @@
         """Take note of how the backend server of a member did."""
         self._view.find_chooser(service).note_outcome(name, is_failed)
 
+    def find_mean_latency(self, service, kind):
+        """Return the mean seconds of a kind of call elsewhere, or None."""
+        return self._view.find_chooser(service).find_mean(kind)
+
     def make_runner(self, member):
         """Return the :class:`_calls.Runner` that sends calls to a member."""
         return _MemberRunner(
@@ -219,6 +227,7 @@
         """
         self._chooser.begin(self._name)
         is_kept = False
+        started_at = self._now()
         try:
             outcome = await self._owner.run(call)
             level = self._owner.read_pressure(call).level
@@ -228,6 +237,10 @@
                 self._chooser.report_load(self._name, self._owner.load, now)
             response = outcome.value_or(None)
             if response is not None:
+                if response.status < 500:
+                    self._chooser.note_latency(
+                        self._name, call.route, now - started_at, now
+                    )
                 self._finish_on_close(response)
                 is_kept = True
             elif _is_not_serving(outcome.failure()):
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -139,10 +139,13 @@
     """A daemon's report on the table of members.
 
     :ivar services: services whose members the daemon asks for.
+    :ivar takes_part: whether a part of the members is better than none, to a
+        daemon that has just started.
     """
 
     registration: registry.Registration
     services: tuple[str, ...]
+    takes_part: bool = False
 
 
 @attrs.frozen
@@ -151,11 +154,13 @@
 
     :ivar sequence: sequence of the last registration taken.
     :ivar services: services that were asked for.
+    :ivar is_settled: whether all daemons have had time to register.
     """
 
     sequence: int
     services: tuple[str, ...]
     members: tuple[registry.Registration, ...]
+    is_settled: bool = True
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_registrations.py
+++ b/daemon/src/cactusloftd/_registrations.py
@@ -69,13 +69,17 @@
             report.registration, now, is_arrival=not request.known
         )
         self._note_changes()
-        version = self._compute_version(report)
-        if version == request.known or not self._is_settled(now):
+        version = self._compute_version(report, now)
+        is_settled = self._is_settled(now)
+        if version == request.known:
+            return None
+        if not is_settled and not report.takes_part:
             return None
         table = _messages.MembersTable(
             report.registration.sequence,
             report.services,
             tuple(self._held.list_members(report.services, now)),
+            is_settled,
         )
         content = msgspec.msgpack.encode(table)
         return _messages.Table(TABLE, version, content)
@@ -159,7 +163,7 @@
         for name in gone:
             del self._reports[name]
 
-    def _compute_version(self, report):
+    def _compute_version(self, report, now):
         """Return a version that differs with all that the answer shows.
 
         A new state of the daemon changes it too, so that the daemon learns
@@ -170,6 +174,7 @@
             self._incarnation,
             report.services,
             (state.service, state.instance, state.slots, state.is_serving),
+            self._is_settled(now),
         )
         revision = self._held.find_revision(report.services) + 1
         return (revision << 32) | zlib.crc32(repr(shown).encode())
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -31,6 +31,10 @@
 REPEAT_RESERVE = 2
 # Time left below which an answer of another owner would come too late.
 LEAST_REPEAT_S = 0.05
+# The backend server of this host is used without a hop while it holds fewer
+# calls for each slot and is not slower than the others by this factor.
+MOST_LOCAL_LOAD = 0.8
+SLOW_FACTOR = 2.0
 # The owner's own answer that the deadline has passed is still on its way.
 DEADLINE_GRACE_S = 0.2
 # Seconds for Retry-After of a call that found no room. Long enough for a
@@ -222,14 +226,25 @@
         service = call.context.service
         is_local = self._owner.service == service and self._owner.is_serving
         is_local = is_local and self._name not in tried
-        admission = self._owner.admission
-        if is_local and admission.in_flight < admission.compute_limit():
+        if is_local and self._is_local_choice(call):
             return self._name, self._owner
         member = self._members.choose(service, tried | {self._name})
         if member is not None:
             return member.name, self._members.make_runner(member)
         return (self._name, self._owner) if is_local else (None, None)
 
+    def _is_local_choice(self, call):
+        """Tell whether the backend server here is as good as any."""
+        if self._owner.load > MOST_LOCAL_LOAD:
+            return False
+        own_s = self._owner.find_service_time(call.route)
+        others_s = self._members.find_mean_latency(
+            call.context.service, call.route
+        )
+        if own_s is None or others_s is None:
+            return True
+        return own_s < SLOW_FACTOR * others_s
+
     def _note_run(self, call, name, outcome):
         service = call.context.service
         if isinstance(outcome, result.Success):
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -33,8 +33,10 @@
 LOOK_DELAY_S = 0.05
 # Calls lost within this time before a crash was seen count as lost by it.
 CRASH_WINDOW_S = 0.5
-# Weight of the newest call in the mean service time.
+# Weight of the newest call in the mean service time, of all calls and of
+# those of one route.
 SERVICE_SMOOTHING = 0.05
+ROUTE_SMOOTHING = 0.1
 NO_SLOT = 'no slot in time'
 NESTED_REFUSED = 'nested calls would be refused'
 _E = errors.ErrorKind
@@ -72,6 +74,7 @@
         self._look = None
         self._loss_id = ''
         self._service_s = 0.0
+        self._route_s = {}
         self._is_stopping = False
         self.on_change = lambda: None
 
@@ -108,6 +111,10 @@
         """Return the :class:`controller.Admission`, or None."""
         return self._gate.admission if self._gate else None
 
+    def find_service_time(self, route):
+        """Return the mean seconds of a route's calls here, or None."""
+        return self._route_s.get(route)
+
     def take_heartbeat(self, heartbeat):
         """Take what the backend server says of itself."""
         before = self._worker.is_serving(self._now())
@@ -348,6 +355,9 @@
     def _note_service(self, run):
         used_s = self._now() - run.ticket.started_at
         self._service_s += SERVICE_SMOOTHING * (used_s - self._service_s)
+        route = run.call.route
+        mean_s = self._route_s.get(route, used_s)
+        self._route_s[route] = mean_s + ROUTE_SMOOTHING * (used_s - mean_s)
 
     def _track(self, run, response):
         """Return ``response`` that frees the slot when it is closed."""
@@ -374,6 +384,7 @@
         self._delivery = _delivery.Delivery(
             self._address, heartbeat.instance, self._protocol, self._now
         )
+        self._route_s = {}
         admission = controller.Admission(
             heartbeat.slots,
             self._now,
--- a/libs/membership/src/cactusloft_membership/_choice.py
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -4,6 +4,9 @@
 member at once, and still keep the longest queues short.
 """
 
+import collections
+import math
+
 import attrs
 
 # A new process fills caches and connections first.
@@ -31,6 +34,14 @@
 FAILURE_WEIGHT = 3.0
 # Below this share, failures say nothing about one member.
 LEAST_FAILURES = 0.1
+# Weights of the newest latency in the mean of a kind of call and in the
+# slowness of a member, which is forgotten when it gets no calls.
+MEAN_SMOOTHING = 0.02
+SLOWNESS_SMOOTHING = 0.1
+SLOWNESS_KEPT_S = 3.0
+# Latency of an idle member in units of the load that doubles it.
+IDLE_LATENCY = 0.5
+KEPT_KINDS = 256
 
 
 @attrs.define
@@ -47,6 +58,13 @@
     load_at: float = float('-inf')
     begun: int = 0
     failures: float = 0.0
+    slowness: float = 1.0
+    slowness_at: float = float('-inf')
+
+    def read_slowness(self, now):
+        """Return its latency as a multiple of the mean."""
+        age_s = now - self.slowness_at
+        return 1.0 + (self.slowness - 1.0) * math.exp(-age_s / SLOWNESS_KEPT_S)
 
 
 class Chooser:
@@ -61,6 +79,7 @@
         self._random = random_source
         self._states = {}
         self._members = ()
+        self._means = collections.OrderedDict()
 
     @property
     def members(self):
@@ -156,6 +175,28 @@
         if state is not None:
             state.failures += FAILURE_SMOOTHING * (is_failed - state.failures)
 
+    def note_latency(self, name, kind, latency_s, now):
+        """Take note of how long a call took at a member.
+
+        :param kind: label of calls with similar service times.
+        :param latency_s: seconds until its answer.
+        """
+        mean = self._means.get(kind, latency_s)
+        self._means[kind] = mean + MEAN_SMOOTHING * (latency_s - mean)
+        self._means.move_to_end(kind)
+        if len(self._means) > KEPT_KINDS:
+            self._means.popitem(last=False)
+        state = self._states.get(name)
+        if state is not None and mean > 0:
+            slowness = state.read_slowness(now)
+            ratio = latency_s / mean
+            state.slowness = slowness + SLOWNESS_SMOOTHING * (ratio - slowness)
+            state.slowness_at = now
+
+    def find_mean(self, kind):
+        """Return the mean latency of a kind of call, or None."""
+        return self._means.get(kind)
+
     def avoid(self, name, now):
         """Leave a member out for a while, after it refused new work."""
         state = self._states.get(name)
@@ -182,7 +223,11 @@
             load = max(load, reported)
         if state.failures > LEAST_FAILURES:
             load += FAILURE_WEIGHT * state.failures
-        return load + PRESSURE_WEIGHT * self._read_pressure(state, now)
+        slowness = state.read_slowness(now)
+        load = slowness * (IDLE_LATENCY + load) - IDLE_LATENCY
+        load += PRESSURE_WEIGHT * self._read_pressure(state, now)
+        # Members that hardly differ are chosen at random.
+        return round(load, 2)
 
     def _read_pressure(self, state, now):
         is_fresh = now - state.reported_at < REPORT_KEPT_S
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -315,3 +315,69 @@
     view.update(['maps'], [make_member('m1')], 1)
     view.update([], [], 2)
     assert [member.name for member in view.list_members()] == ['m1']
+
+
+def _share_of_first(note, rounds=400):
+    """Return the share of calls that the first of three members gets.
+
+    :param note: function(chooser, name, now) called after each call.
+    """
+    chooser = choice.Chooser('dc1', random.Random(5))
+    members = [
+        make_member(f'm{index}', slots=50, is_serving=True)
+        for index in range(3)
+    ]
+    chooser.update(members, 0.0)
+    counts = collections.Counter()
+    for index in range(rounds):
+        now = 20.0 + index / 100
+        chosen = chooser.choose(now)
+        counts[chosen.name] += 1
+        note(chooser, chosen.name, now)
+    return counts['m0'] / rounds
+
+
+def test_slow_member_gets_fewer_calls():
+    """A backend server that turned slow must not hold its share of calls."""
+
+    def note(chooser, name, now):
+        latency_s = 0.5 if name == 'm0' else 0.1
+        chooser.note_latency(name, 'read', latency_s, now)
+
+    assert _share_of_first(note) < 0.15
+
+
+def test_failing_member_gets_fewer_calls():
+    """One that fails half of its calls is found without any probe."""
+    source = random.Random(7)
+
+    def note(chooser, name, now):
+        chooser.note_outcome(name, name == 'm0' and source.random() < 0.5)
+
+    assert _share_of_first(note) < 0.2
+
+
+def test_reported_load_counts_beside_own_calls():
+    """What other daemons send to an owner fills its slots, too."""
+
+    def note(chooser, name, now):
+        chooser.report_load(name, 0.9 if name == 'm0' else 0.2, now)
+
+    assert _share_of_first(note) < 0.15
+
+
+def test_slowness_is_forgotten():
+    """A member that got no calls meanwhile is tried again."""
+    chooser = choice.Chooser('dc1', random.Random(5))
+    chooser.update(
+        [
+            make_member('m0', slots=50, is_serving=True),
+            make_member('m1', slots=50, is_serving=True),
+        ],
+        0.0,
+    )
+    for _ in range(50):
+        chooser.note_latency('m1', 'read', 0.1, 20.0)
+        chooser.note_latency('m0', 'read', 0.5, 20.0)
+    assert {chooser.choose(20.0).name for _ in range(30)} == {'m1'}
+    assert {chooser.choose(60.0).name for _ in range(30)} == {'m0', 'm1'}
