Keep what a peer sent out of the log, and take targets in absolute form

Cause: a request whose lines end with a bare line feed made the parser's message, the raw head with the key, the detail of event 210 and of the answer. Both name the kind of error now. A target in absolute form got 404.

--- a/daemon/src/cactusloftd/_callers.py
+++ b/daemon/src/cactusloftd/_callers.py
@@ -37,7 +37,7 @@
             return await self._serve(request)
 
     async def _serve(self, request):
-        head = _http.read_head(request, request.raw_path)
+        head = _http.read_head(request, _http.read_target(request))
         if not pipeline.is_successful(head):
             return self._refuse(head)
         inbound = head.unwrap()
--- a/daemon/src/cactusloftd/_http.py
+++ b/daemon/src/cactusloftd/_http.py
@@ -46,6 +46,21 @@
     )
 
 
+def read_target(request):
+    """Return path and query of a request, byte for byte.
+
+    A target in absolute form also names scheme and authority; these are left
+    out.
+    """
+    target = request.raw_path
+    if target.startswith('/'):
+        return target
+    _, separator, rest = target.partition('://')
+    if not separator:
+        return target
+    return '/' + rest.partition('/')[2]
+
+
 async def read_body(request, limit):
     """Return the body of a request.
 
--- a/daemon/src/cactusloftd/_http_server.py
+++ b/daemon/src/cactusloftd/_http_server.py
@@ -110,9 +110,10 @@
 
     def handle_error(self, request, status=500, exc=None, message=None):
         """Answer input that the parser refused, and close the connection."""
+        # The parser's message quotes what the peer sent, keys included.
+        detail = type(exc).__name__
         if self._manager is not None:
-            self._manager.note_malformed(message or repr(exc))
-        detail = (message or '').strip().partition('\n')[0]
+            self._manager.note_malformed(detail)
         response = _problems.make_problem(
             errors.CallError(errors.ErrorKind.BAD_REQUEST, detail)
         )
--- a/daemon/src/cactusloftd/exchanges.py
+++ b/daemon/src/cactusloftd/exchanges.py
@@ -3,6 +3,7 @@
 from cactusloftd._calls import Call
 from cactusloftd._headers import select_end_to_end
 from cactusloftd._http import read_body
+from cactusloftd._http import read_target
 from cactusloftd._http import write_answer
 from cactusloftd._http_server import listen
 from cactusloftd._metrics import CONTENT_TYPE as METRICS_CONTENT_TYPE
@@ -12,6 +13,7 @@
     'METRICS_CONTENT_TYPE',
     'listen',
     'read_body',
+    'read_target',
     'select_end_to_end',
     'write_answer',
 ]
