--- a/cli/src/cactusloft/ui/__init__.py
+++ b/cli/src/cactusloft/ui/__init__.py
@@ -16,13 +16,14 @@
 from cactusloft.ui import _output
 from cactusloft.ui.commands import config
 from cactusloft.ui.commands import key
+from cactusloft.ui.commands import log
 from cactusloft.ui.commands import members
 from cactusloft.ui.commands import replica
 from cactusloft.ui.commands import timeline
 from cactusloft_model import errors
 
 DEFAULT_ADMIN = '127.0.0.1:9903'
-_COMMANDS = (config, key, members, replica, timeline)
+_COMMANDS = (config, key, log, members, replica, timeline)
 
 
 def main(arguments=None):
