Carry frames between residents over plain TCP

A ZeroMQ socket passes each message through a thread of its own; every wake-up and system call is charged on the platform. Plain links use TCP with a length in front of each frame; frames of one turn of the event loop leave together. An answer that is whole ends its stream at both ends without a further message; one task keeps all links alive; durations are counted without OpenTelemetry's synchronous histograms; ranks are plain tuples.

Links with keys stay on ZeroMQ with CURVE.

--- a/daemon/src/cactusloftd/_metrics.py
+++ b/daemon/src/cactusloftd/_metrics.py
@@ -2,18 +2,24 @@
 
 The path of a call only adds to plain numbers; OpenTelemetry reads them when
 it is scraped. Its synchronous counters cost about 15 microseconds each, which
-a call at every hop would pay several times. ``docs/metrics.md`` lists every
-metric; a test compares it with ``DEFINITIONS``.
+a call at every hop would pay several times. Its histograms cost more and can
+only be synchronous, so durations are counted here and scraped beside it.
+``docs/metrics.md`` lists every metric; a test compares it with
+``DEFINITIONS``.
 """
 
+import bisect
 import collections
 import enum
+import itertools
 
 import attrs
 from opentelemetry.exporter import prometheus
 from opentelemetry import metrics as otel
 from opentelemetry.sdk import metrics as otel_sdk
 import prometheus_client
+from prometheus_client import metrics_core
+from prometheus_client import registry
 
 from cactusloft_model import events
 
@@ -177,6 +183,43 @@
 _BY_NAME = {definition.name: definition for definition in DEFINITIONS}
 
 
+class _Counts:
+    """Durations of one combination of labels, by bucket."""
+
+    def __init__(self):
+        self._buckets = [0] * (len(DURATION_BOUNDS_S) + 1)
+        self.sum_s = 0.0
+
+    def add(self, seconds):
+        self._buckets[bisect.bisect_left(DURATION_BOUNDS_S, seconds)] += 1
+        self.sum_s += seconds
+
+    def list_buckets(self):
+        """Return pairs of upper bound and cumulative count."""
+        bounds = [*map(str, DURATION_BOUNDS_S), '+Inf']
+        return list(zip(bounds, itertools.accumulate(self._buckets)))
+
+
+class _Durations(registry.Collector):
+    """Scrapes the durations.
+
+    :param histograms: mapping from name to counts by label values.
+    """
+
+    def __init__(self, histograms):
+        self._histograms = histograms
+
+    def collect(self):
+        for name, by_labels in self._histograms.items():
+            definition = _BY_NAME[name]
+            family = metrics_core.HistogramMetricFamily(
+                name, definition.help, labels=definition.labels
+            )
+            for labels, counts in list(by_labels.items()):
+                family.add_metric(labels, counts.list_buckets(), counts.sum_s)
+            yield family
+
+
 class Metrics:
     """Numbers of one daemon."""
 
@@ -184,7 +227,12 @@
         self._registry = prometheus_client.CollectorRegistry()
         self._counts = collections.defaultdict(collections.Counter)
         self._readers = {}
-        self._histograms = {}
+        self._histograms = {
+            definition.name: {}
+            for definition in DEFINITIONS
+            if definition.kind is Kind.HISTOGRAM
+        }
+        self._registry.register(_Durations(self._histograms))
         reader = prometheus.PrometheusMetricReader(
             disable_target_info=True, registry=self._registry
         )
@@ -212,9 +260,11 @@
 
     def record(self, name, seconds, *labels):
         """Add a duration to a histogram."""
-        names = _BY_NAME[name].labels
-        attributes = dict(zip(names, labels, strict=True))
-        self._histograms[name].record(seconds, attributes)
+        histogram = self._histograms[name]
+        counts = histogram.get(labels)
+        if counts is None:
+            counts = histogram[labels] = _Counts()
+        counts.add(seconds)
 
     def observe(self, name, read):
         """Read a gauge when it is scraped.
@@ -250,12 +300,6 @@
     def _create(self, definition):
         name, unit = _split_name(definition)
         if definition.kind is Kind.HISTOGRAM:
-            self._histograms[definition.name] = self._meter.create_histogram(
-                name,
-                unit=unit,
-                description=definition.help,
-                explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
-            )
             return
         create = self._meter.create_observable_gauge
         if definition.kind is Kind.COUNTER:
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -57,6 +57,8 @@
             self._pressure = _read_pressure(frame.message)
             self.load = getattr(frame.message, 'load', None)
             is_kept = isinstance(outcome, result.Success)
+            if _is_last(frame.message):
+                stream.finish()
             return outcome
         except link.StreamLost:
             return _calls.fail(_E.BACKEND_SERVER_FAILED, OWNER_LOST)
@@ -93,17 +95,22 @@
         load = self._owner.load
         if isinstance(outcome, result.Failure):
             await stream.send(_make_refusal(outcome.failure(), level, load))
-            # Keeps the stream open until the entry has read the refusal.
-            await stream.wait_closed()
+            stream.finish()
             return
         response = outcome.unwrap()
         try:
             await _send_response(stream, response, level, load)
-            await stream.wait_closed()
         finally:
             await response.close()
 
 
+def _is_last(message):
+    """Tell whether the owner sends nothing after a message."""
+    if isinstance(message, _messages.Refusal):
+        return True
+    return isinstance(message, _messages.AnswerStart) and message.is_complete
+
+
 def _make_start(call, now):
     context = call.context
     return _messages.CallStart(
@@ -187,10 +194,12 @@
     )
     await stream.send(head, body)
     if is_small:
+        stream.finish()
         return
     async for chunk in chunks:
         await stream.send(_messages.BodyChunk(False), chunk)
     await stream.send(_messages.BodyChunk(True))
+    await stream.wait_closed()
 
 
 def _read_head(stream, frame):
--- a/libs/admission/src/cactusloft_admission/_queue.py
+++ b/libs/admission/src/cactusloft_admission/_queue.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import typing
 
 import attrs
 
@@ -13,8 +14,9 @@
 from cactusloft_model import calls
 
 
-@attrs.frozen(order=True)
-class _Rank:
+class _Rank(typing.NamedTuple):
+    """Order of service; compared for each call, so a plain tuple."""
+
     priority: calls.Priority
     nested: bool
 
--- a/libs/link/src/cactusloft_link/_listener.py
+++ b/libs/link/src/cactusloft_link/_listener.py
@@ -5,6 +5,7 @@
 
 from cactusloft_link import _codec
 from cactusloft_link import _errors
+from cactusloft_link import _plain
 from cactusloft_link import _socket
 from cactusloft_link import _streams
 
@@ -63,6 +64,12 @@
         self._socket = _socket.LoopSocket(socket, self._take_parts)
         self._node.spawn(self._sweep())
 
+    def start_plain(self, endpoint):
+        """Serve plain connections at ``endpoint``; return the port."""
+        self._socket = _plain.PlainRouter(self._take_parts, self._lose)
+        self._node.spawn(self._sweep())
+        return self._socket.listen(endpoint)
+
     def close(self):
         """Lose all streams and close the socket."""
         for connection in self._connections.values():
@@ -149,6 +156,11 @@
         _lose_streams(connection)
         return False
 
+    def _lose(self, routing_id):
+        connection = self._connections.pop(routing_id, None)
+        if connection is not None:
+            _lose_streams(connection)
+
     async def _sweep(self):
         # Waiting for a frame instead would keep the streams of the last peer
         # open when it vanishes.
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -19,6 +19,7 @@
 from cactusloft_link import _errors
 from cactusloft_link import _listener
 from cactusloft_link import _monitor
+from cactusloft_link import _plain
 from cactusloft_link import _socket
 from cactusloft_link import _streams
 from cactusloft_model import clock
@@ -70,6 +71,7 @@
         self._listener = _listener.Listener(self)
         self._authenticator = None
         self._tasks = set()
+        self._keeper = None
         self.on_event = lambda name, **fields: None
 
     def handle_requests(self, message_class, handler):
@@ -93,9 +95,10 @@
 
         :returns: the port, chosen by the system for port 0.
         """
+        if self._key_pair is None:
+            return self._listener.start_plain(endpoint)
         socket = self._make_socket(zmq.ROUTER)
-        if self._key_pair is not None:
-            self._authenticate(socket)
+        self._authenticate(socket)
         # Without it, frames to a peer that went away vanish silently.
         socket.router_mandatory = True
         socket.bind(f'tcp://{endpoint}')
@@ -129,6 +132,8 @@
         if link is None:
             link = self._links[address] = Link(self, address)
             link.start()
+            if self._keeper is None:
+                self._keeper = self.spawn(self._keep_links())
         return link
 
     def disconnect(self, address):
@@ -175,10 +180,14 @@
         return task
 
     def make_dealer(self, address, on_parts, on_connected, on_disconnected):
-        """Return a connected socket and its monitor."""
+        """Return a connected socket and its monitor, None for none."""
+        if self._key_pair is None:
+            dealer = _plain.PlainDealer(
+                address.endpoint, on_parts, on_connected, on_disconnected
+            )
+            return dealer, None
         socket = self._make_socket(zmq.DEALER)
-        if self._key_pair is not None:
-            socket.curve_serverkey = address.public_key.encode('ascii')
+        socket.curve_serverkey = address.public_key.encode('ascii')
         # Messages wait for no connection: a queued call would be delivered
         # after its sender gave it up.
         socket.immediate = 1
@@ -188,15 +197,22 @@
         socket.connect(f'tcp://{address.endpoint}')
         return _socket.LoopSocket(socket, on_parts), monitor
 
+    async def _keep_links(self):
+        # One task for all links: dozens of timers would cost more than the
+        # pings of idle links.
+        while True:
+            for link in list(self._links.values()):
+                link.keep_alive()
+            await asyncio.sleep(PING_INTERVAL_S)
+
     def _make_socket(self, kind):
         socket = self._context.socket(kind)
         socket.linger = 0
         socket.sndhwm = HIGH_WATER_MARK
         socket.rcvhwm = HIGH_WATER_MARK
         socket.maxmsgsize = MAX_MESSAGE_BYTES
-        if self._key_pair is not None:
-            socket.curve_publickey = self._key_pair.public
-            socket.curve_secretkey = self._key_pair.secret
+        socket.curve_publickey = self._key_pair.public
+        socket.curve_secretkey = self._key_pair.secret
         return socket
 
 
@@ -218,7 +234,7 @@
         self._last_heard = 0.0
         self._up = asyncio.Event()
         self._waiting_since = 0.0
-        self._task = None
+        self._last_ping = 0.0
 
     @property
     def is_up(self):
@@ -237,12 +253,9 @@
         """Connect and keep the connection alive until closed."""
         self._waiting_since = time.monotonic()
         self._open_socket()
-        self._task = self._node.spawn(self._run())
 
     def close(self):
         """Close the connection; open exchanges are lost."""
-        if self._task is not None:
-            self._task.cancel()
         self._close_socket()
         self._lose_exchanges()
 
@@ -290,26 +303,24 @@
             return False
         return True
 
-    async def _run(self):
-        last_ping = 0.0
-        while True:
-            now = time.monotonic()
-            is_idle = self.is_up and not self._requests and not self._streams
-            if is_idle:
-                self._waiting_since = now
-            # Anything that comes in shows as much as an answer to a ping.
-            is_quiet = now - self._last_heard > PING_INTERVAL_S / 2
-            interval_s = BUSY_PING_INTERVAL_S
-            if is_idle:
-                interval_s = IDLE_PING_INTERVAL_S
-            is_due = now - last_ping > interval_s
-            if (is_quiet and not is_idle) or is_due:
-                self._send(_T.PING, 0)
-                last_ping = now
-            silent_since = max(self._last_heard, self._waiting_since)
-            if now - silent_since > SILENCE_LIMIT_S:
-                self._reset()
-            await asyncio.sleep(PING_INTERVAL_S)
+    def keep_alive(self):
+        """Ping the peer when it is due, and give up a silent one."""
+        now = time.monotonic()
+        is_idle = self.is_up and not self._requests and not self._streams
+        if is_idle:
+            self._waiting_since = now
+        # Anything that comes in shows as much as an answer to a ping.
+        is_quiet = now - self._last_heard > PING_INTERVAL_S / 2
+        interval_s = BUSY_PING_INTERVAL_S
+        if is_idle:
+            interval_s = IDLE_PING_INTERVAL_S
+        is_due = now - self._last_ping > interval_s
+        if (is_quiet and not is_idle) or is_due:
+            self._send(_T.PING, 0)
+            self._last_ping = now
+        silent_since = max(self._last_heard, self._waiting_since)
+        if now - silent_since > SILENCE_LIMIT_S:
+            self._reset()
 
     def _send(self, kind, exchange, message=None, payload=b''):
         parts = self._node.encode(kind, exchange, message, payload)
@@ -325,7 +336,8 @@
         self._send(_T.PING, 0)
 
     def _close_socket(self):
-        self._monitor.close()
+        if self._monitor is not None:
+            self._monitor.close()
         self._socket.close()
 
     def _reset(self):
--- a/libs/link/src/cactusloft_link/_streams.py
+++ b/libs/link/src/cactusloft_link/_streams.py
@@ -79,6 +79,11 @@
             self._send(_codec.FrameType.STREAM_RESET, None, b'')
         self._end()
 
+    def finish(self):
+        """End the stream after its last message, of which both ends know."""
+        if not self._is_closed:
+            self._end()
+
     def lose(self):
         """Mark the stream as lost: its link or the other end is gone."""
         if self._is_closed:
