--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -108,8 +108,6 @@
             self._now() - arrived_at,
             call.context.service,
         )
-        if not account:
-            self._owner.note_nested(outcome)
         if isinstance(outcome, result.Failure):
             self._note_refusal(request, outcome.failure(), arrived_at, call)
         else:
@@ -288,9 +286,6 @@
                 return True
             if is_not_run and error.detail == _owner.NO_SLOT:
                 return True
-            if is_not_run and error.detail == _owner.NESTED_REFUSED:
-                # The other owners see the same services below.
-                return False
             attempt.runs += 1
             if not budgets.may_resend(
                 context.idempotent, error.answer.not_run
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -18,7 +18,6 @@
 from cactusloftd import _calls
 from cactusloftd import _gate
 from cactusloftd.resident import _delivery
-from cactusloftd.resident import _waste
 from cactusloftd.resident import _worker
 
 # Share of the time until an answer loses worth that a call may wait for a
@@ -38,7 +37,6 @@
 SERVICE_SMOOTHING = 0.05
 ROUTE_SMOOTHING = 0.1
 NO_SLOT = 'no slot in time'
-NESTED_REFUSED = 'nested calls would be refused'
 _E = errors.ErrorKind
 _G = controller.Verdict
 _O = controller.Outcome
@@ -69,7 +67,6 @@
         self._worker = _worker.Worker()
         self._delivery = None
         self._gate = None
-        self._waste = _waste.WasteGuard(now)
         self._losses = collections.deque()
         self._look = None
         self._loss_id = ''
@@ -146,15 +143,6 @@
         if self._delivery is not None:
             self._delivery.close()
 
-    def note_nested(self, outcome):
-        """Take note of what became of a nested call of the backend server.
-
-        :param outcome: ``Success(Response)`` or ``Failure(CallError)``.
-        """
-        error = outcome.swap().value_or(None)
-        if error is not None and error.kind is _E.OVERLOADED:
-            self._waste.note_refused_nested()
-
     def read_pressure(self, _call):
         """Return the pressure to report with an answer."""
         if self._gate is None:
@@ -194,19 +182,7 @@
         if self.service != call.context.service:
             return self._fail_unserved(call, 'other service')
         checked = self._marks.check(call.context.fingerprint)
-        if isinstance(checked, result.Failure):
-            return checked
-        if self._waste.admits(call.route, call.context.priority):
-            return None
-        self._log.record(
-            _V.CALL_SHED,
-            call_id=call.context.call_id,
-            service=call.context.service,
-            route=call.route,
-            verdict='nested calls would be refused',
-            share=round(self._waste.read_share(call.route), 3),
-        )
-        return _calls.fail(_E.OVERLOADED, NESTED_REFUSED)
+        return checked if isinstance(checked, result.Failure) else None
 
     def _fail_unserved(self, call, reason):
         self._log.record(
@@ -268,7 +244,6 @@
                 if response.status >= 500:
                     run.outcome = _O.ERROR
                 self._note_service(run)
-                self._note_end(run, response.status >= 500)
                 is_kept = True
                 return result.Success(self._track(run, response))
             error = outcome.failure()
@@ -281,8 +256,6 @@
                 detail=error.detail,
                 after_ms=round((self._now() - run.ticket.started_at) * 1000),
             )
-            if error.answer.not_run is not errors.NotRun.TRUE:
-                self._note_end(run, True)
             await self._judge_failure(run, error)
             return outcome
         finally:
@@ -348,10 +321,6 @@
             self._worker.is_unreachable = False
             self.on_change()
 
-    def _note_end(self, run, is_failed):
-        call = run.call
-        self._waste.note_run(call.route, call.context.priority, is_failed)
-
     def _note_service(self, run):
         used_s = self._now() - run.ticket.started_at
         self._service_s += SERVICE_SMOOTHING * (used_s - self._service_s)
--- a/daemon/tests/resident/test_entry.py
+++ b/daemon/tests/resident/test_entry.py
@@ -128,7 +128,6 @@
     marks = types.SimpleNamespace(check=lambda name: result.Success(None))
     owner = types.SimpleNamespace(service='other', is_serving=True)
     owner.admission = None
-    owner.note_nested = lambda outcome: None
     debits = Debits()
     entry = _entry.Entry(
         types.SimpleNamespace(name='here'),
