Serve HTTP in the resident with the parser alone

The resident's listeners use httptools, the parser that aiohttp is built on too; the product's own listeners stay. Metrics load OpenTelemetry with the first scrape.

--- a/daemon/src/cactusloftd/_backend.py
+++ b/daemon/src/cactusloftd/_backend.py
@@ -48,7 +48,7 @@
 
     :param entry: :class:`_entry.Entry`.
     :param owner: :class:`_owner.Owner`.
-    :param exchanges: :class:`_http.Exchanges`.
+    :param exchanges: :class:`_exchanges.Exchanges`.
     :param metrics: :class:`_metrics.Metrics`.
     """
 
--- a/daemon/src/cactusloftd/_callers.py
+++ b/daemon/src/cactusloftd/_callers.py
@@ -18,7 +18,7 @@
     """Serve requests of callers.
 
     :param entry: :class:`_entry.Entry`.
-    :param exchanges: :class:`_http.Exchanges`.
+    :param exchanges: :class:`_exchanges.Exchanges`.
     :param log: :class:`events.EventLog`.
     :param metrics: :class:`_metrics.Metrics`.
     """
--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 
-from cactusloftd import _admin
 from cactusloftd import _control
 from cactusloftd import _control_hosts
 from cactusloftd import _installed
@@ -31,10 +30,7 @@
     def __init__(self, settings, node, log, now, members, parser=None):
         is_control_host = _control_hosts.is_control_host(settings)
         self.installed = _installed.Installed(log, now, is_control_host)
-        self._settings = settings
         self._node = node
-        self._log = log
-        self._members = members
         self._parser = parser or _texts.TextParser()
         self._task = None
         self._control = None
@@ -60,23 +56,10 @@
             settings, node, self._control, now
         )
 
-    def make_admin(self, owner, metrics):
-        """Return the operator listener.
-
-        :param owner: :class:`_owner.Owner`.
-        :param metrics: :class:`_metrics.Metrics`.
-        """
-        return _admin.Admin(
-            self._settings,
-            self.installed,
-            self._operators,
-            self._control,
-            self._parser,
-            self._members,
-            owner,
-            self._log,
-            metrics,
-        )
+    @property
+    def parser(self):
+        """Return the reader of the operators' texts."""
+        return self._parser
 
     @property
     def group(self):
--- a/daemon/src/cactusloftd/_http.py
+++ b/daemon/src/cactusloftd/_http.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from aiohttp import web
-import attrs
 from returns import result
 
 from cactusloft_model import errors
@@ -171,22 +170,3 @@
 
 def _is_positive(text):
     return text.isascii() and text.isdigit() and 0 < int(text) < 10**9
-
-
-@attrs.define
-class Exchanges:
-    """Count requests in progress, so that shutdown can wait for them.
-
-    :ivar count: requests in progress.
-    :ivar is_closing: whether new requests are refused.
-    """
-
-    count: int = 0
-    is_closing: bool = False
-
-    def __enter__(self):
-        self.count += 1
-        return self
-
-    def __exit__(self, *_exc_info):
-        self.count -= 1
--- a/daemon/src/cactusloftd/_metrics.py
+++ b/daemon/src/cactusloftd/_metrics.py
@@ -1,11 +1,9 @@
 """Metrics of a daemon, scraped in the Prometheus format.
 
-The path of a call only adds to plain numbers; OpenTelemetry reads them when
-it is scraped. Its synchronous counters cost about 15 microseconds each, which
-a call at every hop would pay several times. Its histograms cost more and can
-only be synchronous, so durations are counted here and scraped beside it.
-``docs/metrics.md`` lists every metric; a test compares it with
-``DEFINITIONS``.
+The path of a call only adds to plain numbers, which ``_metrics_export`` reads
+when they are scraped; it is loaded with the first scrape, as it takes a tenth
+of the start of a process. ``docs/metrics.md`` lists every metric; a test
+compares it with ``DEFINITIONS``.
 """
 
 import bisect
@@ -14,16 +12,10 @@
 import itertools
 
 import attrs
-from opentelemetry.exporter import prometheus
-from opentelemetry import metrics as otel
-from opentelemetry.sdk import metrics as otel_sdk
-import prometheus_client
-from prometheus_client import metrics_core
-from prometheus_client import registry
 
 from cactusloft_model import events
 
-CONTENT_TYPE = prometheus_client.CONTENT_TYPE_PLAIN_0_0_4
+CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 # Seconds; fine around the target of 1.9 ms and wide enough for deadlines.
 DURATION_BOUNDS_S = (
     0.001,
@@ -200,48 +192,22 @@
         return list(zip(bounds, itertools.accumulate(self._buckets)))
 
 
-class _Durations(registry.Collector):
-    """Scrapes the durations.
+class Metrics:
+    """Numbers of one daemon.
 
-    :param histograms: mapping from name to counts by label values.
+    :ivar counts: values of the counters, by name and label values.
+    :ivar durations: :class:`_Counts` of the histograms, likewise.
     """
 
-    def __init__(self, histograms):
-        self._histograms = histograms
-
-    def collect(self):
-        for name, by_labels in self._histograms.items():
-            definition = _BY_NAME[name]
-            family = metrics_core.HistogramMetricFamily(
-                name, definition.help, labels=definition.labels
-            )
-            for labels, counts in list(by_labels.items()):
-                family.add_metric(labels, counts.list_buckets(), counts.sum_s)
-            yield family
-
-
-class Metrics:
-    """Numbers of one daemon."""
-
     def __init__(self):
-        self._registry = prometheus_client.CollectorRegistry()
-        self._counts = collections.defaultdict(collections.Counter)
-        self._readers = {}
-        self._histograms = {
+        self.counts = collections.defaultdict(collections.Counter)
+        self.durations = {
             definition.name: {}
             for definition in DEFINITIONS
             if definition.kind is Kind.HISTOGRAM
         }
-        self._registry.register(_Durations(self._histograms))
-        reader = prometheus.PrometheusMetricReader(
-            disable_target_info=True, registry=self._registry
-        )
-        self._provider = otel_sdk.MeterProvider(
-            metric_readers=[reader], shutdown_on_exit=False
-        )
-        self._meter = self._provider.get_meter('cactusloftd')
-        for definition in DEFINITIONS:
-            self._create(definition)
+        self._readers = {}
+        self._exporter = None
 
     def count(self, name, *labels):
         """Add 1 to a counter.
@@ -249,7 +215,7 @@
         :param name: name of a definition.
         :param labels: values of its labels, in order.
         """
-        self._counts[name][labels] += 1
+        self.counts[name][labels] += 1
 
     def count_event(self, event, _fields):
         """Count a logged event; for ``EventLog.on_record``."""
@@ -260,10 +226,10 @@
 
     def record(self, name, seconds, *labels):
         """Add a duration to a histogram."""
-        histogram = self._histograms[name]
-        counts = histogram.get(labels)
+        durations = self.durations[name]
+        counts = durations.get(labels)
         if counts is None:
-            counts = histogram[labels] = _Counts()
+            counts = durations[labels] = _Counts()
         counts.add(seconds)
 
     def observe(self, name, read):
@@ -289,44 +255,21 @@
 
         self.observe(name, read_mapping)
 
+    def read(self, definition):
+        """Return the values of a counter or gauge by label values."""
+        if definition.kind is Kind.GAUGE:
+            return self._readers.get(definition.name, dict)()
+        return self.counts[definition.name]
+
     def render(self):
         """Return the scrape as bytes."""
-        return prometheus_client.generate_latest(self._registry)
+        if self._exporter is None:
+            from cactusloftd import _metrics_export
+
+            self._exporter = _metrics_export.Exporter(self)
+        return self._exporter.render()
 
     def close(self):
         """Release what the exporter holds."""
-        self._provider.shutdown()
-
-    def _create(self, definition):
-        name, unit = _split_name(definition)
-        if definition.kind is Kind.HISTOGRAM:
-            return
-        create = self._meter.create_observable_gauge
-        if definition.kind is Kind.COUNTER:
-            create = self._meter.create_observable_counter
-        create(
-            name,
-            callbacks=[lambda _options: self._read(definition)],
-            unit=unit,
-            description=definition.help,
-        )
-
-    def _read(self, definition):
-        """Yield an observation for each combination of labels."""
-        values = self._counts[definition.name]
-        if definition.kind is Kind.GAUGE:
-            read = self._readers.get(definition.name, dict)
-            values = read()
-        for labels, value in list(values.items()):
-            attributes = dict(zip(definition.labels, labels, strict=True))
-            yield otel.Observation(value, attributes)
-
-
-def _split_name(definition):
-    """Return instrument name and unit; the exporter joins them again."""
-    name = definition.name
-    if definition.kind is Kind.COUNTER:
-        name = name.removesuffix('_total')
-    if name.endswith('_seconds'):
-        return name.removesuffix('_seconds'), 's'
-    return name, ''
+        if self._exporter is not None:
+            self._exporter.close()
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -17,16 +17,17 @@
 from cactusloft_model import events
 import cactusloft_quota as quota
 from cactusloftd import _accounts
+from cactusloftd import _admin
 from cactusloftd import _backend
 from cactusloftd import _callers
 from cactusloftd import _config
 from cactusloftd import _control_hosts
 from cactusloftd import _control_plane
 from cactusloftd import _entry
+from cactusloftd import _exchanges
 from cactusloftd import _flow
 from cactusloftd import _group
 from cactusloftd import _guards
-from cactusloftd import _http
 from cactusloftd import _http_server
 from cactusloftd import _leadership
 from cactusloftd import _mark_relay
@@ -99,7 +100,7 @@
         self._owner = _owner.Owner(
             config, self._guards, self._log, self._metrics, now
         )
-        self._admin = self._plane.make_admin(self._owner, self._metrics)
+        self._admin = self._make_admin()
         self._is_changed = asyncio.Event()
         self._owner.on_change = self._is_changed.set
         self._attach_tables()
@@ -113,11 +114,25 @@
             self._log,
             now,
         )
-        self._exchanges = _http.Exchanges()
+        self._exchanges = _exchanges.Exchanges()
         self._runners = []
         self._call_server = _peers.CallServer(self._owner, now)
         self._observe()
 
+    def _make_admin(self):
+        plane = self._plane
+        return _admin.Admin(
+            self._settings,
+            plane.installed,
+            plane.operators,
+            plane.control,
+            plane.parser,
+            self._members,
+            self._owner,
+            self._log,
+            self._metrics,
+        )
+
     def _attach_tables(self):
         """Exchange tables with this daemon's home, or with itself."""
         plane, members = self._plane, self._members
--- a/daemon/src/cactusloftd/exchanges.py
+++ b/daemon/src/cactusloftd/exchanges.py
@@ -2,18 +2,18 @@
 
 from cactusloftd._calls import Call
 from cactusloftd._headers import select_end_to_end
-from cactusloftd._http import read_body
-from cactusloftd._http import read_target
-from cactusloftd._http import write_answer
-from cactusloftd._http_server import listen
 from cactusloftd._metrics import CONTENT_TYPE as METRICS_CONTENT_TYPE
+from cactusloftd.resident._http_listener import Listener
+from cactusloftd.resident._http_messages import Answer
+from cactusloftd.resident._http_messages import Fields
+from cactusloftd.resident._http_messages import Request
 
 __all__ = [
+    'Answer',
     'Call',
+    'Fields',
+    'Listener',
     'METRICS_CONTENT_TYPE',
-    'listen',
-    'read_body',
-    'read_target',
+    'Request',
     'select_end_to_end',
-    'write_answer',
 ]
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -19,8 +19,8 @@
 from cactusloft_model import events
 import cactusloft_quota as quota
 from cactusloftd import _control_plane
+from cactusloftd import _exchanges
 from cactusloftd import _group
-from cactusloftd import _http
 from cactusloftd import _leadership
 from cactusloftd import _mark_relay
 from cactusloftd import _marks
@@ -105,7 +105,7 @@
         self._plane = _control_plane.ControlPlane(
             settings, self._node, self.log, self._now, self._members, reader
         )
-        self.exchanges = _http.Exchanges()
+        self.exchanges = _exchanges.Exchanges()
         self._is_changed = asyncio.Event()
         self._is_stopping = False
         self._was_serving = False
@@ -217,8 +217,8 @@
     async def shut_down(self, stop_listening):
         """Take no new work and wait for what is in progress.
 
-        :param stop_listening: coroutine function that refuses new
-            connections, called once callers have noticed.
+        :param stop_listening: function that refuses new connections, called
+            once callers have noticed.
         """
         self._is_stopping = True
         self.log.record(
@@ -230,7 +230,7 @@
             await self._members.report_now()
             noticed_at = started_at + NOTICE_S
             await asyncio.sleep(max(0.0, noticed_at - self._now()))
-        await stop_listening()
+        stop_listening()
         limit = started_at + self._settings.shutdown_grace_s - EXIT_S
         while self._now() < limit and self._is_busy():
             await asyncio.sleep(SHUTDOWN_POLL_S)
--- /dev/null
+++ b/daemon/tests/resident/test_http_listener.py
@@ -0,0 +1,232 @@
+"""Tests of the HTTP listeners of a resident, byte by byte."""
+
+import asyncio
+import base64
+
+import pytest
+
+from cactusloftd import _calls
+from cactusloftd.resident import _http_listener
+from cactusloftd.resident import _http_messages
+
+KEY = 'clk_secret-of-a-caller'
+AUTHORIZATION = f'Authorization: Bearer {KEY}\r\n'.encode()
+GET = b'GET /%s HTTP/1.1\r\nHost: x.example\r\n\r\n'
+
+
+class Log:
+    """A log that keeps all its lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def record(self, event, **fields):
+        self.lines.append(f'{event.name} {fields!r}')
+
+
+class Handler:
+    """Keeps the requests and answers each with its target."""
+
+    def __init__(self, answer=None, delay_s=0.0):
+        self.requests = []
+        self.cancelled = 0
+        self._answer = answer
+        self._delay_s = delay_s
+
+    async def __call__(self, request):
+        self.requests.append(request)
+        try:
+            await asyncio.sleep(self._delay_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if self._answer is not None:
+            return self._answer
+        return _http_messages.Answer(200, (), request.target.encode())
+
+
+async def open_listener(handler):
+    """Return a listener, its log, and an open connection."""
+    log = Log()
+    listener = _http_listener.Listener(handler, log)
+    await listener.start('127.0.0.1:0')
+    reader, writer = await asyncio.open_connection('127.0.0.1', listener.port)
+    return listener, log, reader, writer
+
+
+def exchange(content, handler=None, parts=1, seconds=0.3):
+    """Send bytes, in parts; return what came back, handler and log."""
+    handler = handler or Handler()
+
+    async def run():
+        listener, log, reader, writer = await open_listener(handler)
+        size = -(-len(content) // parts)
+        for start in range(0, len(content), size):
+            writer.write(content[start : start + size])
+            await asyncio.sleep(0.002)
+        received = b''
+        try:
+            async with asyncio.timeout(seconds):
+                while chunk := await reader.read(1 << 16):
+                    received += chunk
+        except TimeoutError:
+            pass
+        writer.close()
+        await listener.close()
+        return received, log.lines
+
+    received, lines = asyncio.run(run())
+    return received, handler, lines
+
+
+@pytest.mark.parametrize('parts', [1, 7, 60])
+def test_requests_on_one_connection_are_answered_in_turn(parts):
+    """A kept connection carries many requests, in pieces of any size."""
+    content = GET % b'one' + GET % b'two?q=%2F'
+    received, handler, _ = exchange(content, parts=parts)
+    assert received.count(b'HTTP/1.1 200 OK') == 2
+    assert received.index(b'/one') < received.index(b'/two?q=%2F')
+    assert [r.path for r in handler.requests] == ['/one', '/two']
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'POST /x HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello',
+        b'POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n',
+    ],
+)
+def test_body_comes_whole(content):
+    """With a length or in chunks, the backend server gets the same bytes."""
+    _, handler, _ = exchange(content, parts=9)
+    assert handler.requests[0].body == b'hello'
+
+
+def test_client_that_waits_may_send_its_body():
+    """A client that asks first would otherwise wait for ever."""
+    content = (
+        b'POST /x HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n'
+        b'\r\nok'
+    )
+    received, handler, _ = exchange(content)
+    assert received.startswith(b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200')
+    assert handler.requests[0].body == b'ok'
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'GET /read HTTP/1.1\nHost: x\n' + AUTHORIZATION + b'\r\n',
+        b'GET /read HTTP/9.9\r\n' + AUTHORIZATION + b'\r\n',
+        b'GET /read\r\n' + AUTHORIZATION + b'\r\n',
+        AUTHORIZATION + b'\r\n\r\n',
+        b'GET / HTTP/1.1\r\nBad Name: ' + KEY.encode() + b'\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: ' + KEY.encode() + b'\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: 3\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        b'GET / HTTP/1.1\r\nX: ' + b'y' * 200_000 + KEY.encode() + b'\r\n\r\n',
+    ],
+)
+def test_malformed_input_is_refused_and_shows_no_key(content):
+    """It reaches nobody, and neither answer nor log holds a key."""
+    received, handler, lines = exchange(content)
+    encoded = base64.b64encode(KEY.encode()).decode().rstrip('=')
+    for text in (received.decode('latin-1'), *lines):
+        assert KEY not in text
+        assert encoded not in text
+    if handler.requests:
+        # A bare line feed ends a line for the parser.
+        assert handler.requests[0].headers.get('Authorization')
+    else:
+        assert received.startswith((b'HTTP/1.1 400', b'HTTP/1.1 431'))
+        assert lines
+
+
+def test_request_behind_a_malformed_one_is_not_served():
+    """What was smuggled behind bytes that make no sense must not run."""
+    content = GET % b'one' + b'\x00\x01\x02\r\n\r\n' + GET % b'two'
+    received, handler, _ = exchange(content)
+    assert [r.path for r in handler.requests] == ['/one']
+    assert received.count(b'HTTP/1.1 200') == 1
+
+
+def test_client_that_leaves_cancels_its_request():
+    """Work for a client that is gone is wasted."""
+    handler = Handler(delay_s=5)
+
+    async def run():
+        listener, _, _, writer = await open_listener(handler)
+        writer.write(GET % b'one')
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.05)
+        await listener.close()
+
+    asyncio.run(run())
+    assert handler.cancelled == 1
+
+
+def make_response(chunks, length):
+    """Return a response whose body comes in chunks."""
+
+    async def iterate():
+        for chunk in chunks:
+            yield chunk
+
+    return _calls.Response(200, (), length, iterate(), _calls.close_nothing)
+
+
+@pytest.mark.parametrize('length', [None, 200_000])
+def test_large_answer_is_streamed(length):
+    """A download arrives whole, with a length or in chunks."""
+    chunks = [b'x' * 50_000] * 4
+    response = make_response(chunks, length)
+    answer = _http_messages.Answer(200, (('X-A', 'b'),), response=response)
+    received, _, _ = exchange(GET % b'one', Handler(answer))
+    assert b'X-A: b\r\n' in received
+    assert received.count(b'x') >= 200_000
+    assert received.endswith(b'0\r\n\r\n') == (length is None)
+
+
+@pytest.mark.parametrize('length', [200_000, 40_000])
+def test_answer_that_breaks_off_does_not_look_complete(length):
+    """The connection is cut instead of ending the answer in order."""
+    response = make_response([b'x' * 1000], length)
+    answer = _http_messages.Answer(200, (), response=response)
+
+    async def run():
+        listener, _, reader, writer = await open_listener(Handler(answer))
+        writer.write(GET % b'one')
+        try:
+            async with asyncio.timeout(2):
+                received = await reader.read()
+        except ConnectionResetError:
+            received = b''
+        writer.close()
+        await listener.close()
+        return received
+
+    assert asyncio.run(run()).count(b'x') < length
+
+
+def test_last_answer_closes_the_connection():
+    """A stopping host tells its clients to connect elsewhere."""
+    answer = _http_messages.Answer(200, (), b'bye', is_last=True)
+    received, handler, _ = exchange(
+        GET % b'one' + GET % b'two', Handler(answer)
+    )
+    assert received.endswith(b'Connection: close\r\n\r\nbye')
+    assert len(handler.requests) == 1
+
+
+def test_fault_of_the_handler_ends_the_connection():
+    """A fault must not leave a client without an end."""
+
+    async def fail(request):
+        raise ValueError(KEY)
+
+    received, _, lines = exchange(GET % b'one', fail)
+    assert received == b''
+    assert any('INTERNAL_ERROR' in line for line in lines)
+    assert KEY not in str(lines)
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -66,7 +66,7 @@
         self._key_pair = key_pair
         self._allowed_keys = allowed_keys
         self._clock = hybrid_clock
-        self._context = zmq.Context()
+        self._context = None if key_pair is None else zmq.Context()
         self._links = {}
         self._listener = _listener.Listener(self)
         self._authenticator = None
@@ -151,7 +151,8 @@
             task.cancel()
         if self._authenticator is not None:
             self._authenticator.stop()
-        self._context.destroy(linger=0)
+        if self._context is not None:
+            self._context.destroy(linger=0)
 
     def encode(self, kind, exchange, message=None, payload=b''):
         """Return the parts of a frame that is sent now."""
