--- a/daemon/src/cactusloftd/resident/_http_listener.py
+++ b/daemon/src/cactusloftd/resident/_http_listener.py
@@ -19,7 +19,7 @@
 from cactusloftd.resident import _http_messages
 
 # Bounds memory: an idle connection costs a few KiB.
-MAX_CONNECTIONS = 4000
+MAX_CONNECTIONS = 3000
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # Requests of one connection that wait for their turn.
