--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -196,6 +196,8 @@
         except TimeoutError:
             outcome = _calls.fail(_E.DEADLINE_EXCEEDED)
             attempt.may_have_run |= attempt.is_sent
+            if attempt.is_sent:
+                self._note_run(call, attempt.owner, outcome)
         settled = attempt.settle(outcome)
         unused = attempt.failed_answer
         if unused is not None and unused is not settled:
@@ -212,6 +214,7 @@
             if runner is None:
                 break
             attempt.tried.add(name)
+            attempt.owner = name
             attempt.is_sent = True
             outcome = await runner.run(call)
             attempt.is_sent = False
@@ -378,6 +381,7 @@
     :ivar runs: backend servers that got the call, or may have got it.
     :ivar may_have_run: whether one of them may have run it.
     :ivar is_sent: whether an owner has it just now.
+    :ivar owner: the owner that was asked last.
     :ivar failed_answer: a backend server's own failure, given to the client
         when no repeat did better.
     """
@@ -388,6 +392,7 @@
     runs: int = 0
     may_have_run: bool = False
     is_sent: bool = False
+    owner: str = ''
     failed_answer: object = None
 
     def settle(self, outcome):
