Leave an isolated control host before a change is due

Polls were held for 1 s and the age judged from the receipt of the poll, against 2.5 s, so it took up to 4 s to move.

A control host now answers a held poll as soon as its confirmation is 1.2 s old, and the asker judges the age at the arrival.

--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -18,9 +18,11 @@
 RELAY_HOLD_S = 0.25
 ANSWER_MARGIN_S = 1.0
 CONNECT_WAIT_S = 0.5
-RETRY_PAUSE_S = 0.1
-# A control host whose confirmation is older than this may be isolated.
-MOVE_AGE_S = 2.5
+RETRY_PAUSE_S = 0.2
+# A control host whose confirmation is older than this may be isolated. A
+# change is due everywhere 2 s after it was accepted, so the next control host
+# has to be asked well before that.
+MOVE_AGE_S = 1.2
 # A local replica that was confirmed within this time makes polls needless.
 LOCAL_AGE_S = 1.5
 LOCAL_POLL_S = 0.1
@@ -209,7 +211,7 @@
             self._take_group(answer.group)
         version = _installed.Version(answer.version, answer.change_id)
         self._take(version, confirmed_at, lambda: _patch(base, answer))
-        return answer.age_s < MOVE_AGE_S
+        return self._now() - confirmed_at < MOVE_AGE_S
 
     def _take_replica_group(self, replica):
         known = self.group.epoch, self.group.leader
--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -12,6 +12,8 @@
 from cactusloftd import _messages
 
 MAX_HOLD_S = 2.0
+# With an older confirmation, the asker is told at once and may go elsewhere.
+STALE_AGE_S = 1.2
 
 
 class TableOwner(typing.Protocol):
@@ -56,9 +58,17 @@
             tables = self._exchange(watch)
             has_changed = self._has_changed(watch)
             remaining = limit - self._now()
-            if tables or has_changed or remaining <= 0:
+            is_due = remaining <= 0 or self._find_fresh_time() <= 0
+            if tables or has_changed or is_due:
                 return self._make_answer(watch, tables, received_at)
-            await self._wait(remaining)
+            await self._wait(min(remaining, self._find_fresh_time()))
+
+    def _find_fresh_time(self):
+        """Return the seconds until the confirmation is stale."""
+        installed = self._installed
+        if installed.confirmed_at is None:
+            return MAX_HOLD_S
+        return STALE_AGE_S - installed.age_s
 
     def _has_changed(self, watch):
         if self._installed.version.number > watch.version:
