--- a/libs/model/src/cactusloft_model/_document.py
+++ b/libs/model/src/cactusloft_model/_document.py
@@ -93,12 +93,20 @@
             for account in accounts.values()
             for key_hash in account.key_hashes
         }
+        # Hashing the key of each call costs more than the rest of the look-up.
+        self._account_by_key = {}
         self._indexes = _routes.index_hosts(routes.values())
         self._service_indexes = _routes.index_services(routes)
 
     def find_account(self, key):
         """Return the account that ``key`` authenticates, or None."""
-        return self._account_by_hash.get(keys.hash_key(key))
+        account = self._account_by_key.get(key)
+        if account is None:
+            account = self._account_by_hash.get(keys.hash_key(key))
+            # Only known keys are kept, so callers cannot make it grow.
+            if account is not None:
+                self._account_by_key[key] = account
+        return account
 
     def find_route(self, method, path, host=''):
         """Return the most specific route for a request, or None.
