--- /dev/null
+++ b/daemon/src/cactusloftd/_access.py
@@ -0,0 +1,27 @@
+"""Who may use a route."""
+
+from returns import result
+
+from cactusloft_model import errors
+from cactusloftd import _calls
+
+_E = errors.ErrorKind
+
+
+def find_account_name(config, route, key):
+    """Return the name of the account that a key opens a route for.
+
+    :param config: :class:`_config.Config`.
+    :param route: :class:`document.Route`.
+    :param key: caller key, or empty.
+    :returns: ``Success(name)``, empty on open routes, or
+        ``Failure(CallError)``.
+    """
+    if route.is_open:
+        return result.Success('')
+    if not config.is_fresh():
+        return _calls.fail(_E.CONFIG_STALE)
+    account = config.current.find_account(key) if key else None
+    if account is None:
+        return _calls.fail(_E.UNAUTHENTICATED)
+    return result.Success(account.name)
--- a/daemon/src/cactusloftd/_entry.py
+++ b/daemon/src/cactusloftd/_entry.py
@@ -10,6 +10,7 @@
 from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_model import events
+from cactusloftd import _access
 from cactusloftd import _calls
 from cactusloftd import _peers
 
@@ -96,16 +97,13 @@
             if not self._config.is_fresh():
                 return _calls.fail(_E.CONFIG_STALE)
             return _calls.fail(_E.NO_ROUTE)
-        if route.is_open:
-            return result.Success((route, ''))
-        if not self._config.is_fresh():
-            return _calls.fail(_E.CONFIG_STALE)
-        account = document.find_account(inbound.key) if inbound.key else None
-        if account is None:
-            return _calls.fail(_E.UNAUTHENTICATED)
-        if route.needs_idempotency_key and not inbound.idempotency_key:
+        found = _access.find_account_name(self._config, route, inbound.key)
+        if not pipeline.is_successful(found):
+            return found
+        is_keyed = route.needs_idempotency_key and not route.is_open
+        if is_keyed and not inbound.idempotency_key:
             return _calls.fail(_E.BAD_REQUEST, 'Idempotency-Key is required')
-        return result.Success((route, account.name))
+        return result.Success((route, found.unwrap()))
 
     def make_root_call(self, inbound, route, account, body):
         """Return the call of a caller's request.
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -14,6 +14,7 @@
 from cactusloft_model import errors
 import cactusloft_quota as quota
 from cactusloft_retry import marks as retry_marks
+from cactusloftd import _rate_messages
 
 
 @attrs.frozen
@@ -347,31 +348,6 @@
     content: bytes
 
 
-@attrs.frozen
-class LeaseReply:
-    """Reply to ``quota.LeaseRequest``.
-
-    :ivar grant: the lease, or None when this daemon gives none.
-    :ivar leader: replica id of the control leader, empty when not known.
-    """
-
-    grant: quota.Grant | None
-    leader: str
-
-
-@attrs.frozen
-class DebitReply:
-    """Reply to ``quota.DebitRequest``.
-
-    :ivar grants: a grant for each known account, or None when this daemon
-        gives none.
-    :ivar leader: replica id of the control leader, empty when not known.
-    """
-
-    grants: tuple[quota.AccountGrant, ...] | None
-    leader: str
-
-
 LEDGER_MESSAGES = (
     ledger.Reserve,
     ledger.Deny,
@@ -410,8 +386,8 @@
         46: ledger.CopyRequest,
         47: ledger.CopyPage,
         50: quota.LeaseRequest,
-        51: LeaseReply,
+        51: _rate_messages.LeaseReply,
         52: quota.DebitRequest,
-        53: DebitReply,
+        53: _rate_messages.DebitReply,
     }
 )
--- a/daemon/src/cactusloftd/_rates.py
+++ b/daemon/src/cactusloftd/_rates.py
@@ -10,7 +10,8 @@
 from cactusloft_model import errors
 import cactusloft_quota as quota
 from cactusloftd import _calls
-from cactusloftd import _messages
+from cactusloftd import _leader_link
+from cactusloftd import _rate_messages
 
 # Calls wait this long for a token before they are refused. An account of a few
 # calls each second, used through two entries, lost 1.4% of the calls that one
@@ -19,8 +20,7 @@
 # Bounds the memory that the calls of one account take while they wait.
 MAX_WAITING = 256
 WAITING_POLL_S = 0.01
-REQUEST_TIMEOUT_S = 0.25
-CONNECT_WAIT_S = 0.3
+PATIENCE = _leader_link.Patience(connect_s=0.3, reply_s=0.25)
 FAILURE_PAUSE_S = 0.05
 LEADER_POLL_S = 0.1
 _E = errors.ErrorKind
@@ -49,14 +49,14 @@
     def __init__(self, name, boot, view, node, allocators, now, metrics):
         self._name = name
         self._boot = boot
-        self._view = view
-        self._node = node
+        self._leader = _leader_link.LeaderLink(
+            view, node, allocators.answer, PATIENCE
+        )
         self._allocators = allocators
         self._now = now
         self._metrics = metrics
         self._accounts = {}
         self._numbers = itertools.count()
-        self._hint = ''
 
     async def admit(self, context):
         """Debit the account of a root call.
@@ -101,30 +101,12 @@
             del self._accounts[name]
 
     async def _ask(self, request):
-        grant = await self._ask_leader(request)
+        reply = await self._leader.ask(request)
+        grant = None if reply is None else reply.grant
         outcome = 'unanswered' if grant is None else 'granted'
         self._metrics.count('cactusloft_rate_grants_total', outcome)
         return grant
 
-    async def _ask_leader(self, request):
-        """Return the reply of the allocator, None when there is none."""
-        group = self._view.read()
-        leader = group.find_voter(self._hint) or group.find_voter(group.leader)
-        if leader is None:
-            return None
-        replica = self._view.replica
-        if replica is not None and replica.replica_id == leader.replica_id:
-            reply = await self._allocators.answer(request, 0.0)
-        else:
-            peer = self._node.connect(leader.address)
-            if not await peer.wait_until_up(CONNECT_WAIT_S):
-                self._hint = ''
-                return None
-            answer = await peer.request(request, REQUEST_TIMEOUT_S)
-            reply = answer.value_or(_messages.LeaseReply(None, ''))
-        self._hint = reply.leader
-        return reply.grant
-
 
 class _Account:
     """The holder of one account, its task, and the calls that wait."""
@@ -258,17 +240,17 @@
         """Grant a lease; the handler of ``LeaseRequest``."""
         group = self._view.read()
         if not self._leadership.is_confirmed():
-            return _messages.LeaseReply(None, group.leader)
+            return _rate_messages.LeaseReply(None, group.leader)
         if self._leadership.term != self._term:
             self._term = self._leadership.term
             self._allocators = {}
         own = self._view.replica.replica_id
         account = self._config.current.accounts.get(request.client_account)
         if account is None or not self._config.is_fresh():
-            return _messages.LeaseReply(None, own)
+            return _rate_messages.LeaseReply(None, own)
         allocator = self._find_allocator(account)
         grant = allocator.handle(request, self._now())
-        return _messages.LeaseReply(grant, own)
+        return _rate_messages.LeaseReply(grant, own)
 
     def _find_allocator(self, account):
         allocator = self._allocators.get(account.name)
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -30,6 +30,7 @@
 from cactusloftd import _guards
 from cactusloftd import _http_server
 from cactusloftd import _leadership
+from cactusloftd import _link_events
 from cactusloftd import _mark_relay
 from cactusloftd import _marks
 from cactusloftd import _members
@@ -45,12 +46,6 @@
 SHUTDOWN_POLL_S = 0.02
 REPORT_INTERVAL_S = 1.0
 _V = events.Event
-_LINK_EVENTS = {
-    'peer_refused': _V.PEER_REFUSED,
-    'peer_lost': _V.PEER_LOST,
-    'peer_connected': _V.PEER_CONNECTED,
-    'handler_failed': _V.INTERNAL_ERROR,
-}
 
 
 class Daemon:
@@ -77,7 +72,7 @@
             link.AllowedKeys(security.allowed_keys),
             hybrid_clock,
         )
-        self._node.on_event = self._record_link_event
+        self._node.on_event = _link_events.make_recorder(self._log)
         self._members = _members.Members(
             self._node,
             settings.control_hosts,
@@ -358,11 +353,6 @@
             is_serving=self._owner.is_serving,
         )
 
-    def _record_link_event(self, name, **fields):
-        self._log.record(
-            _LINK_EVENTS.get(name, _V.REQUEST_MALFORMED), **fields
-        )
-
 
 def _choose_config(settings, plane):
     """Return the source of the document: a fixed file, or the replicas."""
--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -12,10 +12,10 @@
 from cactusloft_model import errors
 import cactusloft_quota as quota
 from cactusloftd import _calls
-from cactusloftd import _messages
+from cactusloftd import _leader_link
+from cactusloftd import _rate_messages
 
-REQUEST_TIMEOUT_S = 0.2
-CONNECT_WAIT_S = 0.1
+PATIENCE = _leader_link.Patience(connect_s=0.1, reply_s=0.2)
 FAILURE_PAUSE_S = 0.05
 # Unused tokens are returned with the next request, or alone after this time.
 RETURN_INTERVAL_S = 0.25
@@ -38,17 +38,16 @@
 
     def __init__(self, name, view, config, node, buckets, now, metrics):
         self._name = name
-        self._view = view
         self._config = config
-        self._node = node
-        self._buckets = buckets
+        self._leader = _leader_link.LeaderLink(
+            view, node, buckets.answer, PATIENCE
+        )
         self._now = now
         self._metrics = metrics
         self._holders = {}
         self._waiting = collections.defaultdict(collections.deque)
         self._wake = asyncio.Event()
         self._has_contact = True
-        self._hint = ''
 
     async def admit(self, context):
         """Debit the account of a call.
@@ -114,13 +113,13 @@
         debits = tuple(debit for debit in debits if debit is not None)
         if not debits and self._has_contact:
             return
-        reply = await self._ask(quota.DebitRequest(self._name, debits))
-        self._has_contact = reply is not None
+        reply = await self._leader.ask(quota.DebitRequest(self._name, debits))
+        self._has_contact = reply is not None and reply.grants is not None
         self._metrics.count(
             'cactusloft_rate_grants_total',
-            'unanswered' if reply is None else 'granted',
+            'granted' if self._has_contact else 'unanswered',
         )
-        if reply is None:
+        if not self._has_contact:
             _answer_all(waiting)
             await asyncio.sleep(FAILURE_PAUSE_S)
             return
@@ -137,25 +136,6 @@
             is_given = index < tokens
             waiter.set_result(0.0 if is_given else grant.retry_after_s)
 
-    async def _ask(self, request):
-        """Return the :class:`_messages.DebitReply`, or None without one."""
-        group = self._view.read()
-        leader = group.find_voter(self._hint) or group.find_voter(group.leader)
-        if leader is None:
-            return None
-        replica = self._view.replica
-        if replica is not None and replica.replica_id == leader.replica_id:
-            reply = await self._buckets.answer(request, 0.0)
-        else:
-            peer = self._node.connect(leader.address)
-            if not await peer.wait_until_up(CONNECT_WAIT_S):
-                self._hint = ''
-                return None
-            answer = await peer.request(request, REQUEST_TIMEOUT_S)
-            reply = answer.value_or(_messages.DebitReply(None, ''))
-        self._hint = reply.leader
-        return reply if reply.grants is not None else None
-
     def _admit_alone(self, account, holder):
         """Admit a call without contact to the leader, if it may be."""
         if holder.take_spare(account.rate, self._now()):
@@ -207,12 +187,12 @@
         """Grant tokens; the handler of ``DebitRequest``."""
         leadership = self._leadership
         if not leadership.is_confirmed() or not self._config.is_fresh():
-            return _messages.DebitReply(None, self._view.read().leader)
+            return _rate_messages.DebitReply(None, self._view.read().leader)
         if leadership.term != self._term:
             self._term = leadership.term
             self._buckets = {}
         grants = (self._debit(request.holder, d) for d in request.debits)
-        return _messages.DebitReply(
+        return _rate_messages.DebitReply(
             tuple(grant for grant in grants if grant is not None),
             self._view.replica.replica_id,
         )
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -7,7 +7,6 @@
 
 import asyncio
 
-import attrs
 from returns import pipeline
 from returns import result
 
@@ -15,7 +14,9 @@
 from cactusloft_model import errors
 from cactusloft_model import events
 from cactusloft_retry import budgets
+from cactusloftd import _access
 from cactusloftd import _calls
+from cactusloftd.resident import _attempts
 from cactusloftd.resident import _owner
 from cactusloftd.resident import _splits
 
@@ -37,9 +38,6 @@
 SLOW_FACTOR = 2.0
 # The owner's own answer that the deadline has passed is still on its way.
 DEADLINE_GRACE_S = 0.2
-# Seconds for Retry-After of a call that found no room. Long enough for a
-# queue to drain, short enough to come back in time.
-RETRY_AFTER_S = 0.4
 NOT_FOUND_RETRY_S = 0.2
 _E = errors.ErrorKind
 _V = events.Event
@@ -123,14 +121,8 @@
             if not self._is_known():
                 return _calls.fail(_E.CONFIG_STALE)
             return _calls.fail(_E.NO_ROUTE)
-        if route.is_open:
-            return result.Success((route, ''))
-        if not self._config.is_fresh():
-            return _calls.fail(_E.CONFIG_STALE)
-        account = document.find_account(request.key) if request.key else None
-        if account is None:
-            return _calls.fail(_E.UNAUTHENTICATED)
-        return result.Success((route, account.name))
+        found = _access.find_account_name(self._config, route, request.key)
+        return found.map(lambda name: (route, name))
 
     def _is_known(self):
         """Tell whether there is a document that is confirmed."""
@@ -181,14 +173,14 @@
             return admitted
         outcome = await self._try_owners(call, 1 + route.retries)
         is_failure = isinstance(outcome, result.Failure)
-        if is_failure and _is_not_run(outcome.failure()):
+        if is_failure and _attempts.is_not_run(outcome.failure()):
             self._debits.give_back(call.context)
         return outcome
 
     async def _try_owners(self, call, most_runs):
         """Ask owners until one answers, and at most until the deadline."""
         await self._members.prepare(call.context.service)
-        attempt = _Attempt(call, most_runs)
+        attempt = _attempts.Attempt(call, most_runs)
         limit_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
         try:
             async with asyncio.timeout(limit_s):
@@ -281,7 +273,7 @@
                 attempt.failed_answer = outcome
         else:
             error = outcome.failure()
-            is_not_run = _is_not_run(error)
+            is_not_run = _attempts.is_not_run(error)
             attempt.may_have_run |= not is_not_run
             if context.deadline - self._now() < LEAST_REPEAT_S:
                 return False
@@ -372,49 +364,3 @@
             after_ms=round((self._now() - arrived_at) * 1000),
             **fields,
         )
-
-
-@attrs.define
-class _Attempt:
-    """What has become of one attempt of a client so far.
-
-    :ivar runs: backend servers that got the call, or may have got it.
-    :ivar may_have_run: whether one of them may have run it.
-    :ivar is_sent: whether an owner has it just now.
-    :ivar owner: the owner that was asked last.
-    :ivar failed_answer: a backend server's own failure, given to the client
-        when no repeat did better.
-    """
-
-    call: _calls.Call
-    most_runs: int
-    tried: set[str] = attrs.Factory(set)
-    runs: int = 0
-    may_have_run: bool = False
-    is_sent: bool = False
-    owner: str = ''
-    failed_answer: object = None
-
-    def settle(self, outcome):
-        """Return the outcome for the client."""
-        if isinstance(outcome, result.Success):
-            return outcome
-        if self.failed_answer is not None:
-            return self.failed_answer
-        error = outcome.failure()
-        if not self.may_have_run and error.kind is _E.DEADLINE_EXCEEDED:
-            # Nobody has it: no backend server was found in time.
-            return _calls.fail(_E.OVERLOADED, 'no owner in time', _TRUE)
-        if self.may_have_run and _is_not_run(error):
-            # An earlier run of the same attempt may have happened.
-            return _calls.fail(_E.OUTCOME_UNKNOWN, error.detail)
-        if _is_not_run(error) and error.kind is _E.BACKEND_SERVER_FAILED:
-            # An order may come again only after a refusal that promises.
-            error = errors.CallError(_E.NO_BACKEND_SERVER, error.detail)
-        if _is_not_run(error) and error.retry_after_s is None:
-            error = attrs.evolve(error, retry_after_s=RETRY_AFTER_S)
-        return result.Failure(error)
-
-
-def _is_not_run(error):
-    return error.answer.not_run is _TRUE
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -22,6 +22,7 @@
 from cactusloftd import _exchanges
 from cactusloftd import _group
 from cactusloftd import _leadership
+from cactusloftd import _link_events
 from cactusloftd import _mark_relay
 from cactusloftd import _marks
 from cactusloftd import _members
@@ -48,11 +49,6 @@
 # What the stop of a process itself takes, out of the grace that it has.
 EXIT_S = 0.7
 _V = events.Event
-_LINK_EVENTS = {
-    'peer_lost': _V.PEER_LOST,
-    'peer_connected': _V.PEER_CONNECTED,
-    'handler_failed': _V.INTERNAL_ERROR,
-}
 
 
 @attrs.frozen
@@ -94,7 +90,7 @@
         self.metrics = _metrics.Metrics()
         self.log.on_record = self.metrics.count_event
         self._node = link.Node(_messages.CODEC, None, None, hybrid_clock)
-        self._node.on_event = self._record_link_event
+        self._node.on_event = _link_events.make_recorder(self.log)
         self._members = _members.Members(
             self._node,
             settings.control_hosts,
@@ -389,6 +385,3 @@
         )
         if self._site.backend_server:
             observe('cactusloft_in_flight_calls', lambda: self._owner.held)
-
-    def _record_link_event(self, name, **fields):
-        self.log.record(_LINK_EVENTS.get(name, _V.REQUEST_MALFORMED), **fields)
--- a/daemon/tests/resident/test_entry.py
+++ b/daemon/tests/resident/test_entry.py
@@ -12,6 +12,7 @@
 from cactusloft_model import keys
 from cactusloftd import _calls
 from cactusloftd import _metrics
+from cactusloftd.resident import _attempts
 from cactusloftd.resident import _entry
 from cactusloftd.resident import protocol
 
@@ -248,7 +249,7 @@
     outcome, entry = serve(make_members(FULL, FULL, FULL))
     answer = outcome.failure().answer
     assert answer.not_run is _N.TRUE
-    assert answer.retry_after_s == _entry.RETRY_AFTER_S
+    assert answer.retry_after_s == _attempts.RETRY_AFTER_S
     assert entry.debits.given_back == 1
 
 
