Spend less on each frame, line and start of a resident

Frames between residents carry no time line stamp; fields of log lines that are not written are not made; links are looked up by name; the ledger's messages are loaded with the ledger alone.

--- a/bench/src/cactusloft_bench/capacity/_message_probes.py
+++ b/bench/src/cactusloft_bench/capacity/_message_probes.py
@@ -15,6 +15,7 @@
 import cactusloft_link as link
 from cactusloft_model import clock
 import cactusloft_quota as quota
+from cactusloftd import _ledger_messages
 from cactusloftd import _messages
 
 LINK_COUNTS = (20, 80, 160)
@@ -41,7 +42,7 @@
     frame = link.Frame(
         link.FrameType.REQUEST, 1, 1, clock.Stamp(1, 1), message
     )
-    return sum(map(len, _messages.CODEC.encode(frame)))
+    return sum(map(len, _ledger_messages.CODEC.encode(frame)))
 
 
 def _size_watch(services):
@@ -133,7 +134,7 @@
 
 def _make_node(pair, keys_path):
     return link.Node(
-        _messages.CODEC,
+        _ledger_messages.CODEC,
         pair,
         link.AllowedKeys(keys_path),
         clock.HybridClock(lambda: 0),
--- a/bench/src/cactusloft_bench/capacity/_probes.py
+++ b/bench/src/cactusloft_bench/capacity/_probes.py
@@ -15,6 +15,7 @@
 from cactusloft_model import document
 from cactusloft_model import keys
 import cactusloft_quota as quota
+from cactusloftd import _ledger_messages
 from cactusloftd import _messages
 
 SEED = 20261204
@@ -247,7 +248,7 @@
 def probe_frames():
     """Measure the encoding of a call for the peer link."""
     sizes = (200, 2_000, 20_000)
-    codec = _messages.CODEC
+    codec = _ledger_messages.CODEC
     stamp = clock.Stamp(1, 1)
     rng = random.Random(SEED)
 
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -49,6 +49,7 @@
         self._is_answered = asyncio.Event()
         self._reported = 0
         self._is_settled = False
+        self._links = {}
         self._acknowledged = 0
         self.find_home = lambda: None
         self.on_report_due = lambda: None
@@ -107,9 +108,11 @@
         self._acknowledged = max(self._acknowledged, table.sequence)
         self._is_answered.set()
         self._is_answered = asyncio.Event()
-        for member in self._view.list_members():
-            # Connecting takes longer than a call may wait for it.
-            self.connect(member)
+        # Connecting takes longer than a call may wait for it.
+        self._links = {
+            member.name: self.connect(member)
+            for member in self._view.list_members()
+        }
 
     async def _wait_until(self, is_true, timeout_s):
         """Wait for a condition that an answer brings."""
@@ -165,14 +168,16 @@
         suspects = (
             member.name
             for member in chooser.members
-            if self._is_suspect(self.connect(member))
+            if self._is_suspect(self._links.get(member.name))
         )
         chosen = chooser.choose(now, {*excluded, *suspects})
         # A link that is just being made is better than none.
         return chosen or chooser.choose(now, excluded)
 
     def _is_suspect(self, peer):
-        return not peer.is_up or peer.silence_s > SUSPECT_SILENCE_S
+        if peer is None or not peer.is_up:
+            return True
+        return peer.silence_s > SUSPECT_SILENCE_S
 
     def note_outcome(self, service, name, is_failed):
         """Take note of how the backend server of a member did."""
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -5,8 +5,6 @@
 
 import attrs
 
-import cactusloft_ledger as ledger
-import cactusloft_link as link
 from cactusloft_membership import exchange
 from cactusloft_membership import registry
 from cactusloft_model import calls
@@ -348,46 +346,34 @@
     content: bytes
 
 
-LEDGER_MESSAGES = (
-    ledger.Reserve,
-    ledger.Deny,
-    ledger.Release,
-    ledger.Complete,
-    ledger.Query,
-)
-
-CODEC = link.Codec(
-    {
-        1: CallStart,
-        2: BodyChunk,
-        3: AnswerStart,
-        4: Refusal,
-        11: Registrations,
-        20: ReplicaMessage,
-        21: Taken,
-        22: Watch,
-        23: WatchAnswer,
-        24: ApplyRequest,
-        25: HistoryRequest,
-        26: ReplicaChange,
-        27: ControlAnswer,
-        28: ShowRequest,
-        12: Lookup,
-        13: exchange.HomeNews,
-        14: exchange.HomeReceipt,
-        30: RetryCreditRequest,
-        31: RetryCredit,
-        32: MarkNews,
-        33: MarkReceipt,
-        34: PermitRequest,
-        35: Permit,
-        **dict(enumerate(LEDGER_MESSAGES, 40)),
-        45: ledger.LedgerReply,
-        46: ledger.CopyRequest,
-        47: ledger.CopyPage,
-        50: quota.LeaseRequest,
-        51: _rate_messages.LeaseReply,
-        52: quota.DebitRequest,
-        53: _rate_messages.DebitReply,
-    }
-)
+# Those of the call ledger, which residents do not use, are in
+# ``_ledger_messages``; their numbers are 40 to 47.
+MESSAGES = {
+    1: CallStart,
+    2: BodyChunk,
+    3: AnswerStart,
+    4: Refusal,
+    11: Registrations,
+    20: ReplicaMessage,
+    21: Taken,
+    22: Watch,
+    23: WatchAnswer,
+    24: ApplyRequest,
+    25: HistoryRequest,
+    26: ReplicaChange,
+    27: ControlAnswer,
+    28: ShowRequest,
+    12: Lookup,
+    13: exchange.HomeNews,
+    14: exchange.HomeReceipt,
+    30: RetryCreditRequest,
+    31: RetryCredit,
+    32: MarkNews,
+    33: MarkReceipt,
+    34: PermitRequest,
+    35: Permit,
+    50: quota.LeaseRequest,
+    51: _rate_messages.LeaseReply,
+    52: quota.DebitRequest,
+    53: _rate_messages.DebitReply,
+}
--- a/daemon/src/cactusloftd/_reservations.py
+++ b/daemon/src/cactusloftd/_reservations.py
@@ -13,7 +13,7 @@
 from cactusloft_model import events
 from cactusloftd import _calls
 from cactusloftd import _headers
-from cactusloftd import _messages
+from cactusloftd import _ledger_messages
 
 GROUP_POLL_S = 0.1
 CONNECT_WAIT_S = 0.3
@@ -76,7 +76,7 @@
 
     def handle_messages(self):
         """Serve the messages of entries and of other members."""
-        for message in _messages.LEDGER_MESSAGES:
+        for message in _ledger_messages.LEDGER_MESSAGES:
             self._node.handle_requests(message, self._answer)
         self._node.handle_requests(ledger.CopyRequest, self._answer_copy)
 
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -30,6 +30,7 @@
 from cactusloftd import _guards
 from cactusloftd import _http_server
 from cactusloftd import _leadership
+from cactusloftd import _ledger_messages
 from cactusloftd import _link_events
 from cactusloftd import _mark_relay
 from cactusloftd import _marks
@@ -67,7 +68,7 @@
         self._log.on_record = self._metrics.count_event
         security = settings.security
         self._node = link.Node(
-            _messages.CODEC,
+            _ledger_messages.CODEC,
             security.key_pair,
             link.AllowedKeys(security.allowed_keys),
             hybrid_clock,
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -330,7 +330,10 @@
             context.service,
             f'{response.status // 100}xx',
         )
-        self._log.record(
+        # Most answers leave no line; its fields need not be made.
+        if not self._log.takes(_V.CALL_ANSWERED):
+            return
+        self._log.write(
             _V.CALL_ANSWERED,
             call_id=context.call_id,
             service=context.service,
--- a/daemon/src/cactusloftd/resident/_line_log.py
+++ b/daemon/src/cactusloftd/resident/_line_log.py
@@ -103,7 +103,12 @@
 
     def record(self, event, **fields):
         """Count an event and write its line if there is budget for it."""
-        self.on_record(event, fields)
+        if self.takes(event):
+            self._write(event, fields)
+
+    def takes(self, event):
+        """Count an event; tell whether there is budget for its line."""
+        self.on_record(event, None)
         now = time.monotonic()
         if now - self._reported_at > REPORT_INTERVAL_S:
             self._report_dropped(now)
@@ -111,8 +116,11 @@
         if budget is None:
             rate = SERVED_LINES_PER_S if event in _SERVED else LINES_PER_S
             budget = self._budgets[event] = _Budget(rate, now)
-        if budget.take(now):
-            self._write(event, fields)
+        return budget.take(now)
+
+    def write(self, event, **fields):
+        """Write the line of an event that was counted."""
+        self._write(event, fields)
 
     def _write(self, event, fields):
         plain = {
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -89,7 +89,8 @@
         )
         self.metrics = _metrics.Metrics()
         self.log.on_record = self.metrics.count_event
-        self._node = link.Node(_messages.CODEC, None, None, hybrid_clock)
+        codec = link.Codec(_messages.MESSAGES)
+        self._node = link.Node(codec, None, None, None)
         self._node.on_event = _link_events.make_recorder(self.log)
         self._members = _members.Members(
             self._node,
--- a/daemon/tests/resident/test_entry.py
+++ b/daemon/tests/resident/test_entry.py
@@ -122,6 +122,11 @@
     def record(self, event, **fields):
         self.events.append(event.name)
 
+    def takes(self, event):
+        return True
+
+    write = record
+
 
 def make_entry(*members, is_fresh=True):
     """Return an entry whose owners are ``members``."""
--- a/libs/link/src/cactusloft_link/_codec.py
+++ b/libs/link/src/cactusloft_link/_codec.py
@@ -17,6 +17,8 @@
 
 PROTOCOL_VERSION = 1
 _HEADER = struct.Struct('!BBHQQQII')
+# Of frames between nodes without a hybrid clock.
+NO_STAMP = clock.Stamp(0, 0)
 
 
 class FrameType(enum.IntEnum):
@@ -33,7 +35,7 @@
     PONG = 9
 
 
-@attrs.frozen
+@attrs.define
 class Frame:
     """One frame.
 
@@ -108,7 +110,7 @@
                 FrameType(kind),
                 exchange,
                 sent_us,
-                clock.Stamp(wall_ms, counter),
+                clock.Stamp(wall_ms, counter) if wall_ms else NO_STAMP,
                 message,
                 content[body_end:],
             )
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -22,7 +22,6 @@
 from cactusloft_link import _plain
 from cactusloft_link import _socket
 from cactusloft_link import _streams
-from cactusloft_model import clock
 
 PING_INTERVAL_S = 0.2
 # The peer has to hear of an open exchange that only the peer sends on.
@@ -58,7 +57,7 @@
         every process that reaches the port is then trusted.
     :param allowed_keys: :class:`AllowedKeys` for incoming connections; not
         used on plain links.
-    :param hybrid_clock: stamps frames for the time line.
+    :param hybrid_clock: stamps frames for the time line, or None.
     """
 
     def __init__(self, codec, key_pair, allowed_keys, hybrid_clock):
@@ -157,9 +156,8 @@
     def encode(self, kind, exchange, message=None, payload=b''):
         """Return the parts of a frame that is sent now."""
         sent_us = time.monotonic_ns() // 1000
-        frame = _codec.Frame(
-            kind, exchange, sent_us, self._clock.tick(), message, payload
-        )
+        stamp = _codec.NO_STAMP if self._clock is None else self._clock.tick()
+        frame = _codec.Frame(kind, exchange, sent_us, stamp, message, payload)
         return self._codec.encode(frame)
 
     def decode(self, parts):
@@ -169,7 +167,7 @@
         except _codec.MalformedFrame as error:
             self.on_event('malformed_frame', detail=str(error))
             return None
-        if frame.stamp > clock.Stamp(0, 0):
+        if frame.stamp is not _codec.NO_STAMP and self._clock is not None:
             self._clock.merge(frame.stamp)
         return frame
 
