--- a/daemon/src/cactusloftd/resident/_http_listener.py
+++ b/daemon/src/cactusloftd/resident/_http_listener.py
@@ -2,8 +2,8 @@
 
 One task for each connection answers its requests in turn. A connection that
 closes is a cancellation. The library of the daemon's own listeners takes a
-quarter of the start of a process and of the time of a call, which the
-platform's small hosts cannot spare; this uses the parser beneath it alone.
+quarter of the start of a process and a fifth of a call's time at the entry,
+which the platform's small hosts cannot spare; this uses a parser alone.
 """
 
 import asyncio
