--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -64,6 +64,7 @@
     :ivar close: coroutine function that gives the exchange up or ends it;
         must be called once.
     :ivar is_replayed: whether it is the stored response of an earlier call.
+    :ivar is_caused_below: whether a nested call of the run failed.
     """
 
     status: int
@@ -72,6 +73,7 @@
     chunks: Chunks
     close: abc.Callable[[], abc.Awaitable[None]]
     is_replayed: bool = False
+    is_caused_below: bool = False
 
 
 Outcome = result.Result[Response, errors.CallError]
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -22,6 +22,7 @@
     :ivar remaining_ms: milliseconds until the deadline when it was sent.
     :ivar body_bytes: size of the whole body.
     :ivar patience_ms: milliseconds left until the answer loses worth.
+    :ivar is_repeat: whether the call, or one above it, was sent before.
     """
 
     call_id: str
@@ -43,6 +44,7 @@
     host: str = ''
     caller_service: str = ''
     patience_ms: int = 0
+    is_repeat: bool = False
 
 
 @attrs.frozen
@@ -63,6 +65,7 @@
     :ivar is_complete: whether the payload is the whole body.
     :ivar pressure: level of the pressure on this call's route, 0 for none.
     :ivar load: calls that the owner holds for each slot.
+    :ivar is_caused_below: whether a nested call of this run failed.
     """
 
     status: int
@@ -71,6 +74,7 @@
     is_complete: bool
     pressure: float
     load: float = 0.0
+    is_caused_below: bool = False
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -133,6 +133,7 @@
         host=call.host,
         caller_service=call.caller_service,
         patience_ms=int(call.patience_s * 1000),
+        is_repeat=context.is_repeat,
     )
 
 
@@ -191,6 +192,7 @@
         is_small,
         level,
         load,
+        response.is_caused_below,
     )
     await stream.send(head, body)
     if is_small:
@@ -225,7 +227,12 @@
 
     return result.Success(
         _calls.Response(
-            message.status, message.headers, message.length, chunks, close
+            message.status,
+            message.headers,
+            message.length,
+            chunks,
+            close,
+            is_caused_below=message.is_caused_below,
         )
     )
 
--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -1,10 +1,13 @@
 """What has become of one attempt of a client."""
 
+import collections
+
 import attrs
 from returns import result
 
 from cactusloft_model import errors
 from cactusloftd import _calls
+from cactusloftd.resident import _delivery
 
 # Seconds for Retry-After of a call that found no room. Long enough for a
 # queue to drain, short enough to come back in time.
@@ -16,7 +19,11 @@
 class Attempt:
     """What has become of one attempt of a client so far.
 
-    :ivar runs: backend servers that got the call, or may have got it.
+    :ivar most_reached: backend servers that may get the call.
+    :ivar reached: owners whose backend server got it, or may have got it.
+    :ivar sends: how often one of these got it.
+    :ivar decliners: name and runner of owners whose backend server declined
+        to run it although it was in time.
     :ivar may_have_run: whether one of them may have run it.
     :ivar is_sent: whether an owner has it just now.
     :ivar owner: the owner that was asked last.
@@ -25,14 +32,45 @@
     """
 
     call: _calls.Call
-    most_runs: int
+    most_reached: int
     tried: set[str] = attrs.Factory(set)
-    runs: int = 0
+    reached: set[str] = attrs.Factory(set)
+    sends: int = 0
+    decliners: collections.deque = attrs.Factory(collections.deque)
     may_have_run: bool = False
     is_sent: bool = False
     owner: str = ''
     failed_answer: object = None
 
+    @property
+    def may_try_another(self):
+        """Tell whether another backend server may get the call."""
+        return len(self.reached) < self.most_reached
+
+    def begin(self, name):
+        """Take note that an owner gets the call now."""
+        self.tried.add(name)
+        self.owner = name
+        self.is_sent = True
+
+    def make_sent_call(self):
+        """Return the call as the next owner gets it."""
+        if not self.sends or self.call.context.is_repeat:
+            return self.call
+        context = attrs.evolve(self.call.context, is_repeat=True)
+        return attrs.evolve(self.call, context=context)
+
+    def note_outcome(self, name, runner, outcome):
+        """Count a send that reached a backend server."""
+        if isinstance(outcome, result.Failure):
+            error = outcome.failure()
+            if is_not_run(error) and not is_declined(error):
+                return
+            if is_declined(error):
+                self.decliners.append((name, runner))
+        self.sends += 1
+        self.reached.add(name)
+
     def settle(self, outcome):
         """Return the outcome for the client."""
         if isinstance(outcome, result.Success):
@@ -56,6 +94,18 @@
         return result.Failure(error)
 
 
+def is_failed(outcome):
+    """Tell whether the sender of a call sees it fail."""
+    if isinstance(outcome, result.Failure):
+        return True
+    return outcome.unwrap().status >= 500
+
+
+def is_declined(error):
+    """Tell whether a backend server itself declined to run a call."""
+    return error.detail == _delivery.DECLINED
+
+
 def is_not_run(error):
     """Tell whether a call has certainly not run."""
     return error.answer.not_run is errors.NotRun.TRUE
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -17,19 +17,20 @@
 from cactusloftd import _access
 from cactusloftd import _calls
 from cactusloftd.resident import _attempts
+from cactusloftd.resident import _delivery
 from cactusloftd.resident import _owner
 from cactusloftd.resident import _splits
 
 # Owners asked for one call while each refuses before its backend server saw
 # the call. More would add load where every owner is full.
 MOST_OWNERS = 3
-# Repeats as a share of the successes of a service, for calls of clients and
-# for nested ones. A call that is repeated repeats its nested calls, so the
-# shares of up to four services add up; the operators allow 0.2 and 47 more in
-# 10 s, of which each of 16 hosts uses 2.
-ROOT_REPEAT_SHARE = 0.08
-NESTED_REPEAT_SHARE = 0.05
-REPEAT_RESERVE = 2
+# Sends of one call to backend servers, those that declined to run it included.
+MOST_SENDS = 6
+# Repeats as a share of the requests for a service in 10 s, below the 0.2 that
+# the operators allow, as each host counts the seconds for itself. Nested calls
+# of repeated ones are among the repeats.
+REPEAT_SHARE = 0.15
+REPEAT_RESERVE = 1
 # Time left below which an answer of another owner would come too late.
 LEAST_REPEAT_S = 0.05
 # The backend server of this host is used without a hop while it holds fewer
@@ -45,6 +46,7 @@
 # The owner did not offer the call to a backend server: another one may be
 # asked at no cost.
 _FREE_KINDS = (_E.NO_BACKEND_SERVER, _E.SHUTTING_DOWN)
+_FREE_DETAILS = (_owner.NO_SLOT, _delivery.UNREACHABLE)
 
 
 class Entry:
@@ -100,7 +102,12 @@
             return authorised
         route, account = authorised.unwrap()
         call = self._make_call(request, route, account, caller_service)
+        self._find_budget(call.context.service).note_request(
+            call.context.is_repeat
+        )
         outcome = await self._admit(call, route)
+        if request.parent_id and _attempts.is_failed(outcome):
+            self._owner.note_nested_failure(request.parent_id)
         self._metrics.record(
             'cactusloft_call_duration_seconds',
             self._now() - arrived_at,
@@ -133,24 +140,31 @@
         if request.deadline_ms is not None:
             limit_ms = min(limit_ms, request.deadline_ms)
         service = self._splits.choose(route)
-        priority = route.priority
+        priority, depth, is_repeat = route.priority, 0, False
         known = self._config.current.accounts.get(account)
         if known is not None and known.priority is not None:
             priority = known.priority
+        parent = None
+        if not account and request.parent_id:
+            parent = self._owner.find_running(request.parent_id)
+        if parent is not None:
+            priority, depth = parent.priority, parent.depth + 1
+            is_repeat = parent.is_repeat
         context = calls.CallContext(
             call_id=request.attempt_id,
-            root_call_id=request.attempt_id,
-            parent_call_id='',
+            root_call_id=request.root_id,
+            parent_call_id=request.parent_id,
             root_entry=self._name,
             client_account=account,
             service=service,
             priority=priority,
             deadline=self._now() + limit_ms / 1000,
-            depth=0,
+            depth=depth,
             idempotent=route.idempotent,
             fingerprint=calls.compute_fingerprint(
                 account, '', request.method, request.target, request.body
             ),
+            is_repeat=is_repeat,
         )
         return _calls.Call(
             context,
@@ -201,20 +215,29 @@
         outcome = _calls.fail(
             _E.NO_BACKEND_SERVER, 'no member', _TRUE, NOT_FOUND_RETRY_S
         )
-        while len(attempt.tried) < MOST_OWNERS:
-            name, runner = self._choose_owner(call, attempt.tried)
+        while len(attempt.tried) < MOST_OWNERS or attempt.decliners:
+            name, runner = self._choose_next(attempt)
             if runner is None:
                 break
-            attempt.tried.add(name)
-            attempt.owner = name
-            attempt.is_sent = True
-            outcome = await runner.run(call)
+            attempt.begin(name)
+            outcome = await runner.run(attempt.make_sent_call())
             attempt.is_sent = False
             self._note_run(call, name, outcome)
+            attempt.note_outcome(name, runner, outcome)
             if not self._may_try_next(attempt, outcome):
                 break
         return outcome
 
+    def _choose_next(self, attempt):
+        """Return name and runner of the next owner for a call, or Nones."""
+        choice = None, None
+        if attempt.may_try_another and len(attempt.tried) < MOST_OWNERS:
+            choice = self._choose_owner(attempt.call, attempt.tried)
+        # A backend server that declined one call at random may take the next.
+        if choice[1] is None and attempt.decliners:
+            choice = attempt.decliners.popleft()
+        return choice
+
     def _choose_owner(self, call, tried):
         service = call.context.service
         is_local = self._owner.service == service and self._owner.is_serving
@@ -241,13 +264,12 @@
     def _note_run(self, call, name, outcome):
         service = call.context.service
         if isinstance(outcome, result.Success):
-            is_failed = outcome.unwrap().status >= 500
-            if not is_failed:
-                self._find_budget(call.context).note_success()
+            response = outcome.unwrap()
+            is_failed = response.status >= 500 and not response.is_caused_below
         else:
             error = outcome.failure()
             is_failed = error.kind is _E.BACKEND_SERVER_FAILED
-            is_failed = is_failed or error.detail.startswith('shed by')
+            is_failed = is_failed or _attempts.is_declined(error)
             self._log.record(
                 _V.CALL_DISPATCHED,
                 call_id=call.context.call_id,
@@ -268,7 +290,9 @@
             response = outcome.unwrap()
             if response.status < 500 or not context.idempotent:
                 return False
-            attempt.runs += 1
+            if response.is_caused_below:
+                # The nested call had its repeats; a new run makes all of them.
+                return False
             if attempt.failed_answer is None:
                 attempt.failed_answer = outcome
         else:
@@ -279,9 +303,8 @@
                 return False
             if is_not_run and error.kind in _FREE_KINDS:
                 return True
-            if is_not_run and error.detail == _owner.NO_SLOT:
+            if is_not_run and error.detail in _FREE_DETAILS:
                 return True
-            attempt.runs += 1
             if not budgets.may_resend(
                 context.idempotent, error.answer.not_run
             ):
@@ -293,11 +316,14 @@
     def _may_repeat(self, attempt):
         """Take budget for one more run of a call."""
         context = attempt.call.context
-        budget = self._find_budget(context)
+        budget = self._find_budget(context.service)
+        rank = calls.compute_rank(context.root_call_id, context.priority)
+        has_room = budget.has_room(rank)
         is_given = (
-            attempt.runs < attempt.most_runs
+            has_room
+            and attempt.sends < MOST_SENDS
+            and (attempt.may_try_another or bool(attempt.decliners))
             and context.deadline - self._now() >= LEAST_REPEAT_S
-            and budget.has_room()
         )
         if is_given:
             budget.spend()
@@ -305,22 +331,20 @@
             _V.CALL_RETRIED if is_given else _V.RETRY_DENIED,
             call_id=context.call_id,
             service=context.service,
-            runs=attempt.runs,
-            most_runs=attempt.most_runs,
-            has_budget=budget.has_room(),
+            sends=attempt.sends,
+            reached=len(attempt.reached),
+            most_reached=attempt.most_reached,
+            rank=round(rank, 3),
+            has_budget=has_room,
         )
         return is_given
 
-    def _find_budget(self, context):
-        is_nested = not context.client_account
-        budget = self._budgets.get((context.service, is_nested))
+    def _find_budget(self, service):
+        budget = self._budgets.get(service)
         if budget is None:
-            budget = budgets.RetryBudget(
-                NESTED_REPEAT_SHARE if is_nested else ROOT_REPEAT_SHARE,
-                self._now,
-                REPEAT_RESERVE,
+            budget = self._budgets[service] = budgets.RequestBudget(
+                REPEAT_SHARE, self._now, REPEAT_RESERVE
             )
-            self._budgets[context.service, is_nested] = budget
         return budget
 
     def _note_answer(self, call, response, arrived_at):
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -13,6 +13,7 @@
 
 from cactusloft_admission import controller
 from cactusloft_admission import pressure
+from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_model import events
 from cactusloftd import _calls
@@ -72,6 +73,7 @@
         self._loss_id = ''
         self._service_s = 0.0
         self._route_s = {}
+        self._running = {}
         self._is_stopping = False
         self.on_change = lambda: None
 
@@ -112,6 +114,17 @@
         """Return the mean seconds of a route's calls here, or None."""
         return self._route_s.get(route)
 
+    def find_running(self, call_id):
+        """Return the context of a call that runs here, or None."""
+        run = self._running.get(call_id)
+        return run.call.context if run else None
+
+    def note_nested_failure(self, call_id):
+        """Take note that a nested call of one that runs here failed."""
+        run = self._running.get(call_id)
+        if run is not None:
+            run.is_failed_below = True
+
     def take_heartbeat(self, heartbeat):
         """Take what the backend server says of itself."""
         before = self._worker.is_serving(self._now())
@@ -207,6 +220,7 @@
             weight=account.weight if account else 1.0,
             nested=not context.client_account,
             kind='',
+            rank=calls.compute_rank(context.root_call_id, context.priority),
         )
 
     def _is_hopeless(self, ticket):
@@ -236,10 +250,12 @@
     async def _deliver(self, run):
         call = run.call
         is_kept = False
+        self._running[call.context.call_id] = run
         try:
             outcome = await run.delivery.send(call)
             if isinstance(outcome, result.Success):
                 response = outcome.unwrap()
+                response.is_caused_below = run.is_failed_below
                 run.outcome = _O.SUCCESS
                 if response.status >= 500:
                     run.outcome = _O.ERROR
@@ -345,6 +361,7 @@
         if run.is_released:
             return
         run.is_released = True
+        self._running.pop(run.call.context.call_id, None)
         run.gate.leave(run.ticket, run.outcome)
 
     def _install(self, heartbeat):
@@ -391,3 +408,4 @@
     delivery: _delivery.Delivery
     outcome: controller.Outcome = controller.Outcome.ABANDONED
     is_released: bool = False
+    is_failed_below: bool = False
--- a/daemon/src/cactusloftd/resident/protocol.py
+++ b/daemon/src/cactusloftd/resident/protocol.py
@@ -13,6 +13,9 @@
 
     :ivar attempt_id: identity that the client gave this attempt; a later
         attempt has another one.
+    :ivar root_id: attempt of the client above this one, itself for a client.
+    :ivar parent_id: attempt that the backend server ran when it sent this
+        one, empty when it is a client's.
     :ivar host: name that the client addressed.
     :ivar target: path with query, byte for byte.
     :ivar key: caller key, or empty.
@@ -29,6 +32,8 @@
     deadline_ms: int | None
     headers: _calls.Headers
     body: bytes
+    root_id: str
+    parent_id: str
 
     @property
     def path(self):
--- a/libs/admission/src/cactusloft_admission/_queue.py
+++ b/libs/admission/src/cactusloft_admission/_queue.py
@@ -1,8 +1,9 @@
 """Bounded queue with priority classes and fair shares inside a class.
 
 The order of service is strict over classes, nested before root calls inside a
-class, then by fair share over the accounts. The order of eviction is the
-reverse one, so a call is never refused while a call of a lower class stays.
+class, nested ones by the rank of their call tree, root calls by fair share
+over the accounts. The order of eviction is the reverse one, so a call is never
+refused while a call of a lower class stays.
 """
 
 import collections
@@ -14,11 +15,16 @@
 from cactusloft_model import calls
 
 
+# Steps of rank that are told apart; calls within one are served in turn.
+RANK_STEPS = 16
+
+
 class _Rank(typing.NamedTuple):
     """Order of service; compared for each call, so a plain tuple."""
 
     priority: calls.Priority
     nested: bool
+    step: int
 
 
 @attrs.define
@@ -146,8 +152,9 @@
 
     def _rank(self, ticket):
         if self._policy.priorities:
-            return _Rank(ticket.priority, ticket.nested)
-        return _Rank(calls.Priority.NORMAL, False)
+            step = int(RANK_STEPS * ticket.rank) if ticket.nested else 0
+            return _Rank(ticket.priority, ticket.nested, step)
+        return _Rank(calls.Priority.NORMAL, False, 0)
 
     def _account(self, ticket):
         return ticket.client_account if self._policy.fairness else ''
--- a/libs/admission/src/cactusloft_admission/_tickets.py
+++ b/libs/admission/src/cactusloft_admission/_tickets.py
@@ -35,6 +35,7 @@
     :ivar deadline: monotonic seconds on the owner's clock.
     :ivar nested: whether a backend server sent the call.
     :ivar kind: route or other label of calls with similar service times.
+    :ivar rank: of its call tree, see :func:`calls.compute_rank`.
     :ivar alone: whether no other call may run beside this one.
     :ivar queued_at: monotonic seconds of the offer.
     :ivar started_at: monotonic seconds of the start, None before.
@@ -48,6 +49,7 @@
     weight: float = 1.0
     nested: bool = False
     kind: str = ''
+    rank: float = 0.0
     alone: bool = False
     queued_at: float = 0.0
     started_at: float | None = None
--- a/libs/admission/tests/test_controller.py
+++ b/libs/admission/tests/test_controller.py
@@ -252,3 +252,15 @@
         server.offer('a', calls.Priority.LOW)
         levels.append(server.admission.read_pressure().level)
     assert levels[-1] == 0.0
+
+
+def test_slots_of_an_overloaded_server_go_to_whole_trees():
+    """A tree fails with one of its calls; turns in order complete none."""
+    server = FakeServer(slots=1)
+    server.offer('', nested=True, rank=0.5)
+    low = [server.offer('', nested=True, rank=0.2) for _ in range(3)]
+    high = [server.offer('', nested=True, rank=0.9) for _ in range(3)]
+    for _ in range(3):
+        server.finish_first()
+    assert [server.verdicts[ticket] for ticket in high] == [STARTED] * 3
+    assert [server.verdicts[ticket] for ticket in low] == [None] * 3
--- a/libs/model/src/cactusloft_model/_calls.py
+++ b/libs/model/src/cactusloft_model/_calls.py
@@ -11,6 +11,7 @@
 import attrs
 
 CALL_ID_BYTES = 16
+RANK_BYTES = 2
 
 
 class Priority(enum.IntEnum):
@@ -40,6 +41,7 @@
     :ivar depth: 0 for the root call.
     :ivar idempotent: whether the call may be sent again.
     :ivar fingerprint: digest of account, route and content.
+    :ivar is_repeat: whether this call, or one above it, was sent before.
     """
 
     call_id: str
@@ -53,6 +55,7 @@
     depth: int
     idempotent: bool
     fingerprint: Fingerprint
+    is_repeat: bool = False
 
     def remaining_ms(self, now):
         """Return milliseconds until the deadline, at least 0.
@@ -62,6 +65,21 @@
         return max(0, int((self.deadline - now) * 1000))
 
 
+def compute_rank(root_call_id, priority):
+    """Return the rank of a call tree among others, above 0 and at most 1.
+
+    All calls of a tree have the same one on every host, so that what is
+    scarce goes to whole trees: a tree needs all of its calls. Trees of higher
+    classes have higher ranks on average.
+
+    >>> compute_rank('a', Priority.LOW) < compute_rank('a', Priority.HIGH)
+    True
+    """
+    digest = hashlib.blake2b(root_call_id.encode(), digest_size=RANK_BYTES)
+    share = (1 + int.from_bytes(digest.digest(), 'big')) / 256**RANK_BYTES
+    return share ** (1 / (1 + priority))
+
+
 def make_call_id(random_bytes):
     """Return a new call id.
 
--- a/libs/model/src/cactusloft_model/calls.py
+++ b/libs/model/src/cactusloft_model/calls.py
@@ -3,6 +3,7 @@
 from cactusloft_model._calls import CALL_ID_BYTES
 from cactusloft_model._calls import CallContext
 from cactusloft_model._calls import compute_fingerprint
+from cactusloft_model._calls import compute_rank
 from cactusloft_model._calls import Fingerprint
 from cactusloft_model._calls import make_call_id
 from cactusloft_model._calls import Priority
@@ -13,5 +14,6 @@
     'Fingerprint',
     'Priority',
     'compute_fingerprint',
+    'compute_rank',
     'make_call_id',
 ]
--- a/libs/retry/src/cactusloft_retry/_budget.py
+++ b/libs/retry/src/cactusloft_retry/_budget.py
@@ -1,4 +1,4 @@
-"""Retry budget of a service: a share of its recent successes."""
+"""Retry budgets of a service: a share of its recent successes or requests."""
 
 import collections
 
@@ -16,13 +16,14 @@
 class _Bucket:
     started_at: float
     successes: int = 0
+    requests: int = 0
     retries: int = 0
 
 
-class RetryBudget:
-    """Successes and retries of one service over the last seconds.
+class _Window:
+    """Counts over the last seconds.
 
-    :param share: retries allowed as a share of recent successes.
+    :param share: retries allowed as a share of what is counted.
     :param read_clock: function that returns monotonic seconds.
     :param reserve: retries in the window beside the share.
     """
@@ -33,17 +34,6 @@
         self._read_clock = read_clock
         self._buckets = collections.deque()
 
-    def note_success(self):
-        """Take note of a call that succeeded."""
-        self._current().successes += 1
-
-    def has_room(self):
-        """Tell whether a retry is within the budget."""
-        self._current()
-        successes = sum(bucket.successes for bucket in self._buckets)
-        retries = sum(bucket.retries for bucket in self._buckets)
-        return retries < self._reserve + int(self.share * successes)
-
     def spend(self):
         """Take note of a retry."""
         self._current().retries += 1
@@ -58,6 +48,51 @@
         return buckets[-1]
 
 
+class RetryBudget(_Window):
+    """Successes and retries of one service; the share is of successes."""
+
+    def note_success(self):
+        """Take note of a call that succeeded."""
+        self._current().successes += 1
+
+    def has_room(self):
+        """Tell whether a retry is within the budget."""
+        self._current()
+        successes = sum(bucket.successes for bucket in self._buckets)
+        retries = sum(bucket.retries for bucket in self._buckets)
+        return retries < self._reserve + int(self.share * successes)
+
+
+class RequestBudget(_Window):
+    """Requests and repeats of one service; the share is of requests.
+
+    What a repeated call sends further down counts as repeats there. The
+    scarcer the budget, the higher the rank that a call needs to repeat, so
+    that it is spent on whole call trees.
+    """
+
+    def note_request(self, is_repeat):
+        """Take note of a request to the service.
+
+        :param is_repeat: whether a call above it was sent before.
+        """
+        if is_repeat:
+            self.spend()
+        else:
+            self._current().requests += 1
+
+    def has_room(self, rank):
+        """Tell whether a repeat is within the budget.
+
+        :param rank: of the call tree, above 0 and at most 1.
+        """
+        self._current()
+        requests = sum(bucket.requests for bucket in self._buckets)
+        repeats = sum(bucket.retries for bucket in self._buckets)
+        limit = self._reserve + self.share * requests
+        return repeats < rank * limit and repeats + 1 <= limit
+
+
 def may_resend(idempotent, not_run):
     """Tell whether a failed attempt may be followed by another.
 
--- a/libs/retry/src/cactusloft_retry/budgets.py
+++ b/libs/retry/src/cactusloft_retry/budgets.py
@@ -1,6 +1,7 @@
 """Retry budget of a service, and the rules for a resend."""
 
 from cactusloft_retry._budget import may_resend
+from cactusloft_retry._budget import RequestBudget
 from cactusloft_retry._budget import RetryBudget
 
-__all__ = ['RetryBudget', 'may_resend']
+__all__ = ['RequestBudget', 'RetryBudget', 'may_resend']
