--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -276,7 +276,7 @@
                 owner=name,
                 service=service,
                 kind=error.kind.value,
-                not_run=error.answer.not_run.value,
+                not_run=error.claim.value,
                 detail=error.detail,
             )
         self._members.note_outcome(service, name, is_failed)
@@ -305,9 +305,7 @@
                 return True
             if is_not_run and error.detail in _FREE_DETAILS:
                 return True
-            if not budgets.may_resend(
-                context.idempotent, error.answer.not_run
-            ):
+            if not budgets.may_resend(context.idempotent, error.claim):
                 return False
             if error.kind is _E.DEADLINE_EXCEEDED:
                 return False
@@ -384,7 +382,7 @@
             _V.CALL_REFUSED,
             call_id=request.attempt_id,
             kind=error.kind.value,
-            not_run=error.answer.not_run.value,
+            not_run=error.claim.value,
             detail=error.detail,
             document_version=self._config.version.number,
             confirmation_age_s=round(self._config.age_s, 3),
--- a/libs/model/src/cactusloft_model/_errors.py
+++ b/libs/model/src/cactusloft_model/_errors.py
@@ -147,6 +147,17 @@
     not_run: NotRun | None = None
     retry_after_s: float | None = None
 
+    @property
+    def claim(self):
+        """Return what may be claimed about execution.
+
+        >>> CallError(ErrorKind.DEADLINE_EXCEEDED, not_run=NotRun.TRUE).claim
+        <NotRun.TRUE: 'true'>
+        """
+        if self.not_run is not None:
+            return self.not_run
+        return ANSWERS[self.kind].not_run
+
     @property
     def answer(self):
         """Return the :class:`Answer` with ``not_run`` applied.
