--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -23,6 +23,7 @@
     :ivar body_bytes: size of the whole body.
     :ivar patience_ms: milliseconds left until the answer loses worth.
     :ivar is_repeat: whether the call, or one above it, was sent before.
+    :ivar rank: of the call tree, above 0 and at most 1.
     """
 
     call_id: str
@@ -45,6 +46,7 @@
     caller_service: str = ''
     patience_ms: int = 0
     is_repeat: bool = False
+    rank: float = 1.0
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -134,6 +134,7 @@
         caller_service=call.caller_service,
         patience_ms=int(call.patience_s * 1000),
         is_repeat=context.is_repeat,
+        rank=context.rank,
     )
 
 
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -149,7 +149,11 @@
             parent = self._owner.find_running(request.parent_id)
         if parent is not None:
             priority, depth = parent.priority, parent.depth + 1
-            is_repeat = parent.is_repeat
+            is_repeat, rank = parent.is_repeat, parent.rank
+        else:
+            rank = calls.compute_rank(
+                request.root_id, priority, route.idempotent
+            )
         context = calls.CallContext(
             call_id=request.attempt_id,
             root_call_id=request.root_id,
@@ -165,6 +169,7 @@
                 account, '', request.method, request.target, request.body
             ),
             is_repeat=is_repeat,
+            rank=rank,
         )
         return _calls.Call(
             context,
@@ -315,8 +320,7 @@
         """Take budget for one more run of a call."""
         context = attempt.call.context
         budget = self._find_budget(context.service)
-        rank = calls.compute_rank(context.root_call_id, context.priority)
-        has_room = budget.has_room(rank)
+        has_room = budget.has_room(context.rank)
         is_given = (
             has_room
             and attempt.sends < MOST_SENDS
@@ -332,7 +336,7 @@
             sends=attempt.sends,
             reached=len(attempt.reached),
             most_reached=attempt.most_reached,
-            rank=round(rank, 3),
+            rank=round(context.rank, 3),
             has_budget=has_room,
         )
         return is_given
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -13,7 +13,6 @@
 
 from cactusloft_admission import controller
 from cactusloft_admission import pressure
-from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_model import events
 from cactusloftd import _calls
@@ -220,7 +219,7 @@
             weight=account.weight if account else 1.0,
             nested=not context.client_account,
             kind='',
-            rank=calls.compute_rank(context.root_call_id, context.priority),
+            rank=context.rank,
         )
 
     def _is_hopeless(self, ticket):
--- a/daemon/tests/resident/test_entry.py
+++ b/daemon/tests/resident/test_entry.py
@@ -379,6 +379,7 @@
         depth=1,
         idempotent=False,
         fingerprint='f',
+        rank=0.625,
     )
     return attrs.evolve(parent, **changes)
 
@@ -391,6 +392,7 @@
     assert context.priority is calls.Priority.CRITICAL
     assert context.root_call_id == 'a1'
     assert context.depth == 2
+    assert context.rank == make_parent().rank
 
 
 def test_request_with_a_key_inherits_nothing():
@@ -469,5 +471,5 @@
     """Return the id of a call tree that repeats while budgets are scarce."""
     names = (f'a{index}' for index in range(1000))
     return max(
-        names, key=lambda n: calls.compute_rank(n, calls.Priority.NORMAL)
+        names, key=lambda n: calls.compute_rank(n, calls.Priority.NORMAL, True)
     )
--- a/libs/model/src/cactusloft_model/_calls.py
+++ b/libs/model/src/cactusloft_model/_calls.py
@@ -12,6 +12,8 @@
 
 CALL_ID_BYTES = 16
 RANK_BYTES = 2
+# Classes by which a tree ranks higher whose root may run only once.
+UNREPEATABLE_FAVOUR = 4
 
 
 class Priority(enum.IntEnum):
@@ -42,6 +44,7 @@
     :ivar idempotent: whether the call may be sent again.
     :ivar fingerprint: digest of account, route and content.
     :ivar is_repeat: whether this call, or one above it, was sent before.
+    :ivar rank: of its call tree, see :func:`compute_rank`.
     """
 
     call_id: str
@@ -56,6 +59,7 @@
     idempotent: bool
     fingerprint: Fingerprint
     is_repeat: bool = False
+    rank: float = 1.0
 
     def remaining_ms(self, now):
         """Return milliseconds until the deadline, at least 0.
@@ -65,19 +69,24 @@
         return max(0, int((self.deadline - now) * 1000))
 
 
-def compute_rank(root_call_id, priority):
+def compute_rank(root_call_id, priority, idempotent):
     """Return the rank of a call tree among others, above 0 and at most 1.
 
-    All calls of a tree have the same one on every host, so that what is
-    scarce goes to whole trees: a tree needs all of its calls. Trees of higher
-    classes have higher ranks on average.
+    All calls of a tree have the same one, so that what is scarce goes to whole
+    trees: a tree needs all of its calls. Trees of higher classes rank higher
+    on average, and so do those whose root cannot be sent again when one of its
+    nested calls fails.
 
-    >>> compute_rank('a', Priority.LOW) < compute_rank('a', Priority.HIGH)
+    >>> low = compute_rank('a', Priority.LOW, True)
+    >>> low < compute_rank('a', Priority.HIGH, True)
+    True
+    >>> low < compute_rank('a', Priority.LOW, False)
     True
     """
     digest = hashlib.blake2b(root_call_id.encode(), digest_size=RANK_BYTES)
     share = (1 + int.from_bytes(digest.digest(), 'big')) / 256**RANK_BYTES
-    return share ** (1 / (1 + priority))
+    favour = 1 + priority + (0 if idempotent else UNREPEATABLE_FAVOUR)
+    return share ** (1 / favour)
 
 
 def make_call_id(random_bytes):
--- a/libs/retry/tests/test_budget.py
+++ b/libs/retry/tests/test_budget.py
@@ -58,5 +58,9 @@
     """Hosts decide apart from each other, and orders are shed last."""
     low, high = calls.Priority.LOW, calls.Priority.CRITICAL
     for name in map(str, range(100)):
-        ranks = [calls.compute_rank(name, level) for level in (low, high)]
-        assert 0 < ranks[0] <= ranks[1] <= 1
+        ranks = [
+            calls.compute_rank(name, low, idempotent=True),
+            calls.compute_rank(name, high, idempotent=True),
+            calls.compute_rank(name, high, idempotent=False),
+        ]
+        assert 0 < ranks[0] <= ranks[1] <= ranks[2] <= 1
