--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -37,13 +37,14 @@
         :returns: :class:`controller.Verdict`; after ``STARTED`` the call has
             to ``leave``.
         """
+        decisions = self.admission.offer(ticket)
+        self._apply(decisions)
+        for decision in decisions:
+            if decision.ticket is ticket:
+                # As for most calls; a timer would be in vain.
+                return decision.verdict
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[ticket] = waiter
-        self._apply(self.admission.offer(ticket))
-        if waiter.done():
-            # Decided at once, as most calls are; a timer would be in vain.
-            del self._waiters[ticket]
-            return waiter.result()
         try:
             async with asyncio.timeout(ticket.deadline - self._now()):
                 return await waiter
--- a/daemon/src/cactusloftd/_headers.py
+++ b/daemon/src/cactusloftd/_headers.py
@@ -28,23 +28,27 @@
 )
 
 
-def select_end_to_end(headers):
+def select_end_to_end(headers, dropped=frozenset()):
     """Return the end-to-end headers of a message as pairs.
 
     :param headers: multidict of the message.
+    :param dropped: names in lower case to leave out as well.
     """
+    fields = [(name.lower(), name, value) for name, value in headers.items()]
     # Headers that the connection header names are hop-by-hop as well.
     named = {
         token.strip().lower()
-        for name, value in headers.items()
-        if name.lower() == 'connection'
+        for lower, _, value in fields
+        if lower == 'connection'
         for token in value.split(',')
     }
     # The codec takes plain strings, not the HTTP library's subclass of them.
     return tuple(
         (str(name), value)
-        for name, value in headers.items()
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
+        for lower, name, value in fields
+        if lower not in _HOP_BY_HOP
+        and lower not in dropped
+        and lower not in named
     )
 
 
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -165,16 +165,17 @@
         """
         chooser = self._view.find_chooser(service)
         now = self._now()
-        suspects = (
-            member.name
-            for member in chooser.members
-            if self._is_suspect(self._links.get(member.name))
-        )
-        chosen = chooser.choose(now, {*excluded, *suspects})
+        chosen = chooser.choose(now, excluded)
+        if chosen is None or not self._is_suspect(chosen):
+            return chosen
+        suspects = filter(self._is_suspect, chooser.members)
+        names = (member.name for member in suspects)
+        chosen = chooser.choose(now, {*excluded, *names})
         # A link that is just being made is better than none.
         return chosen or chooser.choose(now, excluded)
 
-    def _is_suspect(self, peer):
+    def _is_suspect(self, member):
+        peer = self._links.get(member.name)
         if peer is None or not peer.is_up:
             return True
         return peer.silence_s > SUSPECT_SILENCE_S
--- a/daemon/src/cactusloftd/_metrics.py
+++ b/daemon/src/cactusloftd/_metrics.py
@@ -172,6 +172,8 @@
     events.Event.CALL_RETRIED: 'sent',
     events.Event.RETRY_DENIED: 'denied',
 }
+# The name of an enumeration's member is looked up anew each time.
+_EVENT_NAMES = {event: event.name.lower() for event in events.Event}
 _BY_NAME = {definition.name: definition for definition in DEFINITIONS}
 
 
@@ -219,7 +221,7 @@
 
     def count_event(self, event, _fields):
         """Count a logged event; for ``EventLog.on_record``."""
-        self.count('cactusloft_events_total', event.name.lower())
+        self.count('cactusloft_events_total', _EVENT_NAMES[event])
         outcome = _RETRY_OUTCOMES.get(event)
         if outcome is not None:
             self.count('cactusloft_retries_total', outcome)
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -15,6 +15,10 @@
 # A first connection takes a few round trips for the key exchange.
 CONNECT_WAIT_S = 0.3
 OWNER_LOST = 'owner was lost'
+# The deadline is set anew by the clock of the receiver.
+_CONTEXT_FIELDS = tuple(
+    name for name in attrs.fields_dict(calls.CallContext) if name != 'deadline'
+)
 
 
 class RemoteOwner:
@@ -139,8 +143,7 @@
 
 
 def _make_call(start, body, deadline):
-    names = attrs.fields_dict(calls.CallContext).keys() - {'deadline'}
-    fields = {name: getattr(start, name) for name in names}
+    fields = {name: getattr(start, name) for name in _CONTEXT_FIELDS}
     context = calls.CallContext(deadline=deadline, **fields)
     return _calls.Call(
         context,
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -13,6 +13,7 @@
 
 from cactusloft_admission import controller
 from cactusloft_admission import pressure
+from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_model import events
 from cactusloftd import _calls
@@ -41,6 +42,7 @@
 _G = controller.Verdict
 _O = controller.Outcome
 _V = events.Event
+_PRIORITY_NAMES = {level: level.name.lower() for level in calls.Priority}
 
 
 class Owner:
@@ -179,7 +181,7 @@
         self._metrics.record(
             'cactusloft_queue_wait_seconds',
             self._now() - arrived_at,
-            call.context.priority.name.lower(),
+            _PRIORITY_NAMES[call.context.priority],
         )
         run = _Run(call, gate, ticket, self._delivery)
         # The backend server may have begun to leave while the call waited.
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -113,6 +113,11 @@
             return self.advance()
         if not self._queue:
             self._queue_empty_at = ticket.queued_at
+            if self._has_room() and not self._is_late(ticket):
+                # As for most calls; the queue would give it back at once.
+                self._queue.charge_start(ticket)
+                self._begin(ticket, ticket.queued_at)
+                return [_tickets.Decision(ticket, _tickets.Verdict.STARTED)]
         self._queue.push(ticket)
         decisions = self.advance()
         if len(self._queue) > self._queue_capacity():
@@ -144,7 +149,7 @@
         if outcome is _tickets.Outcome.SUCCESS:
             self._times.add(ticket.kind, latency_s, now)
         self._limit.observe(ticket.kind, latency_s, outcome, in_flight, now)
-        return self.advance()
+        return self.advance() if self.queued else []
 
     def cancel(self, ticket, is_late=False):
         """Take out a call that its caller abandoned before it started.
@@ -198,6 +203,12 @@
             self._meter.note_shed()
         return late
 
+    def _is_late(self, ticket):
+        if not self._policy.deadline_drop:
+            return False
+        needed_s = self._expect_service_s(ticket.kind)
+        return ticket.queued_at + needed_s > ticket.deadline
+
     def _is_claimed(self):
         now = self._read_clock()
         return self._alone.claims_server(bool(self._queue), now)
--- a/libs/admission/src/cactusloft_admission/_pressure.py
+++ b/libs/admission/src/cactusloft_admission/_pressure.py
@@ -45,6 +45,8 @@
         >>> Pressure.from_level(1.25)
         Pressure(lowest_class=<Priority.NORMAL: 1>, share=0.75)
         """
+        if level <= 0.0:
+            return NO_PRESSURE
         bounded = min(HIGHEST_LEVEL, max(0.0, level))
         lowest = calls.Priority(int(bounded))
         return cls(lowest, 1.0 - (bounded - lowest))
--- a/libs/consensus/src/cactusloft_consensus/_elections.py
+++ b/libs/consensus/src/cactusloft_consensus/_elections.py
@@ -17,10 +17,10 @@
 
     def _reset_election(self, now):
         timing = self._timing
-        delay = self._randomness.uniform(
-            timing.election_min, timing.election_max
-        )
-        self._election_at = now + delay
+        bounds = timing.first_min, timing.first_max
+        if self._has_heard_leader:
+            bounds = timing.election_min, timing.election_max
+        self._election_at = now + self._randomness.uniform(*bounds)
 
     def _become_follower(self, term, leader_id, now):
         if term > self.term:
@@ -30,6 +30,7 @@
         if self._leadership is not None:
             # The sync of own entries must not count in a later term.
             self._leadership = None
+            self._has_heard_leader = True
         if self._role.state != _roles.FOLLOWER:
             self._role.step_down()
         self.leader_id = leader_id
@@ -139,6 +140,7 @@
             return False
         self._become_follower(term, sender, now)
         self._leader_seen_at = now
+        self._has_heard_leader = True
         return True
 
     def _receive_append(self, sender, append, now):
--- a/libs/consensus/src/cactusloft_consensus/_node.py
+++ b/libs/consensus/src/cactusloft_consensus/_node.py
@@ -28,11 +28,17 @@
 
     :ivar election_min: silence of the leader after which a replica may ask
         for an election; the actual value is random up to ``election_max``.
+    :ivar first_min: time after the start in which a replica that has never
+        heard a leader asks for an election, again after as long; the actual
+        value is random up to ``first_max``. A leader that there is would have
+        been heard, or its followers refuse the pre-vote.
     :ivar heartbeat: interval of heartbeat rounds.
     """
 
     election_min: float = 0.6
     election_max: float = 1.2
+    first_min: float = 0.2
+    first_max: float = 0.5
     heartbeat: float = 0.15
 
 
@@ -94,6 +100,7 @@
         self._now = now
         self._election_started_at = now
         self._leader_seen_at = now - timing.election_max
+        self._has_heard_leader = False
         self._grants = set()
         self._handed = persisted.snapshot.index
         self._restore = persisted.snapshot
--- a/libs/consensus/tests/test_node.py
+++ b/libs/consensus/tests/test_node.py
@@ -44,6 +44,23 @@
     assert replica.is_leader
 
 
+def test_group_that_starts_again_elects_soon():
+    """After a loss of power nobody serves before there is a leader."""
+    replica = _make_node()
+    timing = node.Timing()
+    replica.tick(timing.first_max)
+    sent = [envelope.message for envelope in replica.collect().messages]
+    assert messages.PreVote(4, 1, 1) in sent
+
+
+def test_leader_that_was_heard_is_given_its_time():
+    """One late heartbeat must not cost the group its leader."""
+    replica = _make_node()
+    _receive(replica, 'b', _append(3, (1, 1)), now=0.1)
+    replica.tick(0.1 + node.Timing().election_min - 0.01)
+    assert replica.role == 'follower'
+
+
 def test_one_vote_in_a_term():
     """Two votes in a term could elect two leaders."""
     replica = _make_node()
--- a/libs/link/src/cactusloft_link/_codec.py
+++ b/libs/link/src/cactusloft_link/_codec.py
@@ -35,6 +35,9 @@
     PONG = 9
 
 
+_TYPES = {kind.value: kind for kind in FrameType}
+
+
 @attrs.define
 class Frame:
     """One frame.
@@ -107,7 +110,7 @@
             body = memoryview(content)[_HEADER.size : body_end]
             message = self._decoders[number].decode(body) if number else None
             return Frame(
-                FrameType(kind),
+                _TYPES[kind],
                 exchange,
                 sent_us,
                 clock.Stamp(wall_ms, counter) if wall_ms else NO_STAMP,
