--- a/libs/consensus/src/cactusloft_consensus/_elections.py
+++ b/libs/consensus/src/cactusloft_consensus/_elections.py
@@ -138,9 +138,9 @@
         """Return whether ``sender`` leads ``term`` as far as known here."""
         if term < self.term:
             return False
+        self._has_heard_leader = True
         self._become_follower(term, sender, now)
         self._leader_seen_at = now
-        self._has_heard_leader = True
         return True
 
     def _receive_append(self, sender, append, now):
