--- a/libs/model/src/cactusloft_model/_calls.py
+++ b/libs/model/src/cactusloft_model/_calls.py
@@ -12,8 +12,8 @@
 
 CALL_ID_BYTES = 16
 RANK_BYTES = 2
-# Classes by which a tree ranks higher whose root may run only once.
-UNREPEATABLE_FAVOUR = 4
+# Ranks above this belong to trees whose root may run only once.
+UNREPEATABLE_RANK = 0.9
 
 
 class Priority(enum.IntEnum):
@@ -73,20 +73,21 @@
     """Return the rank of a call tree among others, above 0 and at most 1.
 
     All calls of a tree have the same one, so that what is scarce goes to whole
-    trees: a tree needs all of its calls. Trees of higher classes rank higher
-    on average, and so do those whose root cannot be sent again when one of its
-    nested calls fails.
+    trees: a tree needs all of its calls. Trees whose root cannot be sent again
+    when one of its nested calls fails rank above all others, and among these
+    higher classes rank higher on average.
 
     >>> low = compute_rank('a', Priority.LOW, True)
     >>> low < compute_rank('a', Priority.HIGH, True)
     True
-    >>> low < compute_rank('a', Priority.LOW, False)
+    >>> low < UNREPEATABLE_RANK < compute_rank('a', Priority.LOW, False)
     True
     """
     digest = hashlib.blake2b(root_call_id.encode(), digest_size=RANK_BYTES)
     share = (1 + int.from_bytes(digest.digest(), 'big')) / 256**RANK_BYTES
-    favour = 1 + priority + (0 if idempotent else UNREPEATABLE_FAVOUR)
-    return share ** (1 / favour)
+    if not idempotent:
+        return UNREPEATABLE_RANK + (1 - UNREPEATABLE_RANK) * share
+    return UNREPEATABLE_RANK * share ** (1 / (1 + priority))
 
 
 def make_call_id(random_bytes):
