--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -32,7 +32,7 @@
         return self.admission.in_flight + self.admission.queued
 
     async def enter(self, ticket):
-        """Wait until the call may start, and at most until its deadline.
+        """Wait until the call may start, and at most as long as it may.
 
         :returns: :class:`controller.Verdict`; after ``STARTED`` the call has
             to ``leave``.
@@ -46,7 +46,7 @@
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[ticket] = waiter
         try:
-            async with asyncio.timeout(ticket.deadline - self._now()):
+            async with asyncio.timeout(ticket.last_start - self._now()):
                 return await waiter
         except TimeoutError:
             self._give_up(ticket, is_late=True)
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -217,10 +217,11 @@
             call_id=context.call_id,
             client_account=context.client_account,
             priority=context.priority,
-            deadline=min(context.deadline, now + wait_s),
+            deadline=context.deadline,
+            start_by=now + wait_s,
             weight=account.weight if account else 1.0,
             nested=not context.client_account,
-            kind='',
+            kind=call.route,
             rank=context.rank,
         )
 
@@ -231,7 +232,7 @@
         if not ahead:
             return False
         per_call_s = self._service_s / max(1, admission.compute_limit())
-        return self._now() + ahead * per_call_s > ticket.deadline
+        return self._now() + ahead * per_call_s > ticket.last_start
 
     def _refuse(self, call, ticket, verdict):
         admission = self._gate.admission
--- a/libs/admission/src/cactusloft_admission/_steps.py
+++ b/libs/admission/src/cactusloft_admission/_steps.py
@@ -12,8 +12,9 @@
     :param is_active: whether calls that would be late are dropped.
     """
     for ticket in tickets:
+        now = read_clock()
         needed_s = expect_service_s(ticket.kind)
-        is_late = read_clock() + needed_s > ticket.deadline
+        is_late = now > ticket.start_by or now + needed_s > ticket.deadline
         if is_active and is_late:
             yield _tickets.Decision(ticket, _tickets.Verdict.EXPIRED)
         else:
--- a/libs/admission/src/cactusloft_admission/_tickets.py
+++ b/libs/admission/src/cactusloft_admission/_tickets.py
@@ -1,6 +1,7 @@
 """Tickets of calls that ask for admission, and the verdicts on them."""
 
 import enum
+import math
 
 import attrs
 
@@ -30,6 +31,7 @@
 
     :ivar call_id: identity of the call.
     :ivar client_account: account that pays with its share, empty when open.
+    :ivar start_by: monotonic seconds until which it may wait for its start.
     :ivar weight: weight of the account in the document.
     :ivar priority: class of the root call.
     :ivar deadline: monotonic seconds on the owner's clock.
@@ -46,6 +48,7 @@
     client_account: str
     priority: calls.Priority
     deadline: float
+    start_by: float = math.inf
     weight: float = 1.0
     nested: bool = False
     kind: str = ''
@@ -55,6 +58,11 @@
     started_at: float | None = None
     charge_s: float = 0.0
 
+    @property
+    def last_start(self):
+        """Return the monotonic seconds after which a start is too late."""
+        return min(self.start_by, self.deadline)
+
 
 @attrs.frozen
 class Decision:
--- a/libs/admission/tests/test_controller.py
+++ b/libs/admission/tests/test_controller.py
@@ -254,6 +254,24 @@
     assert levels[-1] == 0.0
 
 
+def test_short_patience_is_for_the_queue_alone():
+    """A free slot must not be refused to calls that take their time."""
+    server = FakeServer(slots=2, service_s=0.4)
+    server.offer('a', start_by=0.1)
+    server.pass_time(0.4)
+    later = server.offer('a', start_by=server.now + 0.1)
+    assert server.verdicts[later] is STARTED
+
+
+def test_call_that_waited_beyond_its_patience_is_dropped():
+    """A caller that is refused late was held up for nothing."""
+    server = FakeServer(slots=1, service_s=0.4)
+    server.offer('a')
+    late = server.offer('a', start_by=0.1)
+    server.pass_time(0.4)
+    assert server.verdicts[late] is EXPIRED
+
+
 def test_slots_of_an_overloaded_server_go_to_whole_trees():
     """A tree fails with one of its calls; turns in order complete none."""
     server = FakeServer(slots=1)
