--- a/libs/link/src/cactusloft_link/_plain.py
+++ b/libs/link/src/cactusloft_link/_plain.py
@@ -2,8 +2,8 @@
 
 For networks where peers have no keys. They cost less than half of the
 processor time of an encrypted socket, which has a thread of its own for each
-message to pass through. Frames that are written in one turn of the event loop
-leave together.
+message to pass through. The event loop of the residents sends what is written
+in one of its turns together.
 """
 
 import asyncio
@@ -34,10 +34,8 @@
         self._on_frame = on_frame
         self._on_made = on_made
         self._on_lost = on_lost
-        self._loop = asyncio.get_running_loop()
         self._transport = None
         self._received = bytearray()
-        self._unsent = []
         self.is_closed = False
 
     def connection_made(self, transport):
@@ -74,25 +72,16 @@
             return False
         if self._transport.get_write_buffer_size() > MOST_UNSENT_BYTES:
             return False
-        if not self._unsent:
-            self._loop.call_soon(self._flush)
-        self._unsent.append(_LENGTH.pack(len(frame)))
-        self._unsent.append(frame)
+        self._transport.write(_LENGTH.pack(len(frame)) + frame)
         return True
 
     def close(self):
         """Drop the connection at once."""
         if not self.is_closed:
             self.is_closed = True
-            self._flush()
             if self._transport is not None:
                 self._transport.abort()
 
-    def _flush(self):
-        unsent, self._unsent = self._unsent, []
-        if unsent and not self._transport.is_closing():
-            self._transport.write(b''.join(unsent))
-
 
 class PlainDealer:
     """The connecting end; it tries again until it is closed.
