--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -48,6 +48,7 @@
         self._waiting = collections.defaultdict(collections.deque)
         self._wake = asyncio.Event()
         self._has_contact = True
+        self._contact_at = float('-inf')
 
     async def admit(self, context):
         """Debit the account of a call.
@@ -123,6 +124,7 @@
             _answer_all(waiting)
             await asyncio.sleep(FAILURE_PAUSE_S)
             return
+        self._contact_at = self._now()
         for grant in reply.grants:
             self._take_grant(grant, waiting.pop(grant.client_account, ()))
         # Accounts that the leader does not know yet.
@@ -138,7 +140,7 @@
 
     def _admit_alone(self, account, holder):
         """Admit a call without contact to the leader, if it may be."""
-        if holder.take_spare(account.rate, self._now()):
+        if holder.take_spare(account.rate, self._now(), self._contact_at):
             return result.Success(None)
         return _calls.fail(
             _E.RATE_UNAVAILABLE,
@@ -208,10 +210,8 @@
                 account.rate, account.burst, self._leadership.since, now
             )
         bucket.set_limits(account.rate, account.burst, now)
-        return quota.AccountGrant(
-            account.name,
-            *bucket.debit(holder, debit.wanted, debit.returned, now),
-        )
+        taken = bucket.debit(holder, debit.wanted, debit.returned, now)
+        return quota.AccountGrant(account.name, *taken, bucket.level)
 
 
 def _answer_all(waiting):
--- a/libs/quota/src/cactusloft_quota/_debits.py
+++ b/libs/quota/src/cactusloft_quota/_debits.py
@@ -21,9 +21,9 @@
 # Demand is averaged over about this time.
 DEMAND_WINDOW_S = 1.0
 SHARE_WINDOW_S = 4.0
-# Without contact a holder uses this part of its share of the rate, for this
-# long: holders that are cut off and those that are not would otherwise get
-# the same rate twice.
+# Without contact a holder uses this part of its share of the rate and of what
+# the bucket held, for this long: holders that are cut off and those that are
+# not would otherwise get the same rate twice.
 FALLBACK_PART = 0.6
 FALLBACK_S = 2.5
 # Refused callers are told to come back after the next token at the earliest.
@@ -63,12 +63,14 @@
     :ivar tokens: at most as many as were wanted.
     :ivar share: part of the account's calls that this holder has.
     :ivar retry_after_s: seconds until the next token, 0 when there are some.
+    :ivar level: tokens that are left in the bucket.
     """
 
     client_account: str
     tokens: int
     share: float
     retry_after_s: float
+    level: float = 0.0
 
 
 class CentralBucket:
@@ -90,6 +92,11 @@
         self._decayed_at = now
         self._lower = None
 
+    @property
+    def level(self):
+        """Return the tokens that were left at the last debit."""
+        return self._level
+
     def set_limits(self, rate, burst, now):
         """Change rate and burst; lower ones count after a while."""
         self._fill(now)
@@ -167,6 +174,7 @@
         self._contact_at = float('-inf')
         self._share = 0.0
         self._spare = 0.0
+        self._kept = 0.0
         self._spared_at = now
 
     def note_arrival(self):
@@ -209,18 +217,24 @@
         used = min(grant.tokens, waiting)
         self._tokens += grant.tokens - used
         self._granted_at = now
+        self._spare = self._kept = FALLBACK_PART * grant.share * grant.level
         return used
 
-    def take_spare(self, rate, now):
+    def take_spare(self, rate, now, contact_at):
         """Take a token without contact; tell whether there was one.
 
         :param rate: tokens per second of the account.
+        :param contact_at: monotonic seconds of the last contact for any
+            account.
         """
-        if now - self._contact_at > FALLBACK_S:
+        if now - contact_at > FALLBACK_S:
+            return False
+        if contact_at - self._contact_at > SHARE_WINDOW_S:
+            # The share at that time says nothing about now.
             return False
         part = rate * self._share * FALLBACK_PART
-        self._spare += part * max(0.0, now - self._spared_at)
-        self._spare = min(self._spare, max(1.0, part))
+        earned = part * max(0.0, now - max(self._spared_at, contact_at))
+        self._spare = min(self._spare + earned, max(1.0, part, self._kept))
         self._spared_at = now
         if self._spare < 1.0:
             return False
--- a/libs/quota/tests/test_debits.py
+++ b/libs/quota/tests/test_debits.py
@@ -69,12 +69,40 @@
     holder = quota.DebitHolder(0.0)
     grant = quota.AccountGrant('a', 1, 1.0, 0.0)
     holder.take_grant(grant, 1, 0.0)
-    taken = [holder.take_spare(RATE, t / 100) for t in range(1000)]
+    taken = [holder.take_spare(RATE, t / 100, 0.0) for t in range(1000)]
     used = sum(taken)
     assert 0 < used <= RATE * 2.5
     assert not any(taken[260:])
 
 
+def test_calls_go_on_while_a_leader_is_elected():
+    """Hosts with few calls of an account must not refuse all of them.
+
+    All hosts together stay within what the bucket held and earns.
+    """
+    bucket = make_bucket()
+    holders = {f'h{i}': quota.DebitHolder(0.0) for i in range(16)}
+    for _ in range(2):
+        for name, holder in holders.items():
+            taken = bucket.debit(name, 1, 0, 0.0)
+            grant = quota.AccountGrant('a', *taken, bucket.level)
+            holder.take_grant(grant, 1, 0.0)
+    left, outage_s = bucket.level, 1.0
+    assert all(h.take_spare(RATE, 0.1, 0.0) for h in holders.values())
+    used = len(holders)
+    for holder in holders.values():
+        while holder.take_spare(RATE, outage_s, 0.0):
+            used += 1
+    assert used <= left + RATE * outage_s
+
+
+def test_share_of_long_ago_gives_nothing():
+    """A host that had all calls of an account once may have none now."""
+    holder = quota.DebitHolder(0.0)
+    holder.take_grant(quota.AccountGrant('a', 1, 1.0, 0.0, 50.0), 1, 0.0)
+    assert not holder.take_spare(RATE, 20.1, 20.0)
+
+
 def test_unused_tokens_are_returned():
     """Tokens fetched for calls that did not come must not be lost."""
     holder = quota.DebitHolder(0.0)
