--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -65,8 +65,6 @@
         must be called once.
     :ivar is_replayed: whether it is the stored response of an earlier call.
     :ivar is_caused_below: whether a nested call of the run failed.
-    :ivar service_s: mean seconds of the calls of its route at the backend
-        server, None when not known.
     """
 
     status: int
@@ -76,7 +74,6 @@
     close: abc.Callable[[], abc.Awaitable[None]]
     is_replayed: bool = False
     is_caused_below: bool = False
-    service_s: float | None = None
 
 
 Outcome = result.Result[Response, errors.CallError]
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -243,7 +243,10 @@
                 self._chooser.report_load(self._name, self._owner.load, now)
             response = outcome.value_or(None)
             if response is not None:
-                self._note_latency(call, response, started_at, now)
+                if response.status < 500:
+                    self._chooser.note_latency(
+                        self._name, call.route, now - started_at, now
+                    )
                 self._finish_on_close(response)
                 is_kept = True
             elif _is_not_serving(outcome.failure()):
@@ -253,13 +256,6 @@
             if not is_kept:
                 self._chooser.finish(self._name)
 
-    def _note_latency(self, call, response, started_at, now):
-        service_s = response.service_s
-        if response.status < 500 or service_s is not None:
-            self._chooser.note_latency(
-                self._name, call.route, now - started_at, now, service_s
-            )
-
     def _finish_on_close(self, response):
         close_inner = response.close
 
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -68,8 +68,6 @@
     :ivar pressure: level of the pressure on this call's route, 0 for none.
     :ivar load: calls that the owner holds for each slot.
     :ivar is_caused_below: whether a nested call of this run failed.
-    :ivar service_s: mean seconds of the calls of its route at the backend
-        server, or None.
     """
 
     status: int
@@ -79,7 +77,6 @@
     pressure: float
     load: float = 0.0
     is_caused_below: bool = False
-    service_s: float | None = None
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -262,7 +262,6 @@
                 if response.status >= 500:
                     run.outcome = _O.ERROR
                 self._note_service(run)
-                response.service_s = self._route_s.get(call.route)
                 is_kept = True
                 return result.Success(self._track(run, response))
             error = outcome.failure()
@@ -345,9 +344,6 @@
         self._service_s += SERVICE_SMOOTHING * (used_s - self._service_s)
         route = run.call.route
         mean_s = self._route_s.get(route, used_s)
-        if run.outcome is _O.ERROR and used_s <= mean_s:
-            # A failure that came soon says nothing about the time of others.
-            return
         self._route_s[route] = mean_s + ROUTE_SMOOTHING * (used_s - mean_s)
 
     def _track(self, run, response):
--- a/libs/membership/src/cactusloft_membership/_choice.py
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -38,8 +38,6 @@
 # slowness of a member, which is forgotten when it gets no calls.
 MEAN_SMOOTHING = 0.02
 SLOWNESS_SMOOTHING = 0.1
-# Of a mean that the member keeps itself, over the calls of all hosts.
-REPORTED_SMOOTHING = 0.5
 SLOWNESS_KEPT_S = 3.0
 # Latency of an idle member in units of the load that doubles it.
 IDLE_LATENCY = 0.5
@@ -177,13 +175,11 @@
         if state is not None:
             state.failures += FAILURE_SMOOTHING * (is_failed - state.failures)
 
-    def note_latency(self, name, kind, latency_s, now, service_s=None):
+    def note_latency(self, name, kind, latency_s, now):
         """Take note of how long a call took at a member.
 
         :param kind: label of calls with similar service times.
         :param latency_s: seconds until its answer.
-        :param service_s: mean seconds of such calls at the member as it says
-            itself, None when it does not.
         """
         mean = self._means.get(kind, latency_s)
         self._means[kind] = mean + MEAN_SMOOTHING * (latency_s - mean)
@@ -193,10 +189,8 @@
         state = self._states.get(name)
         if state is not None and mean > 0:
             slowness = state.read_slowness(now)
-            ratio, weight = latency_s / mean, SLOWNESS_SMOOTHING
-            if service_s is not None:
-                ratio, weight = service_s / mean, REPORTED_SMOOTHING
-            state.slowness = slowness + weight * (ratio - slowness)
+            ratio = latency_s / mean
+            state.slowness = slowness + SLOWNESS_SMOOTHING * (ratio - slowness)
             state.slowness_at = now
 
     def find_mean(self, kind):
