--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -120,11 +120,15 @@
         run = self._running.get(call_id)
         return run.call.context if run else None
 
-    def note_nested_failure(self, call_id):
-        """Take note that a nested call of one that runs here failed."""
+    def note_nested_failure(self, call_id, is_denied):
+        """Take note that a nested call of one that runs here failed.
+
+        :param is_denied: whether it was not repeated for lack of budget.
+        """
         run = self._running.get(call_id)
         if run is not None:
             run.is_failed_below = True
+            run.is_denied_below |= is_denied
 
     def take_heartbeat(self, heartbeat):
         """Take what the backend server says of itself."""
@@ -258,6 +262,7 @@
             if isinstance(outcome, result.Success):
                 response = outcome.unwrap()
                 response.is_caused_below = run.is_failed_below
+                response.is_denied_below = run.is_denied_below
                 run.outcome = _O.SUCCESS
                 if response.status >= 500:
                     run.outcome = _O.ERROR
@@ -411,3 +416,4 @@
     outcome: controller.Outcome = controller.Outcome.ABANDONED
     is_released: bool = False
     is_failed_below: bool = False
+    is_denied_below: bool = False
