--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 
-import attrs
 from returns import result
 
 from cactusloft_admission import controller
@@ -19,6 +18,8 @@
 from cactusloftd import _calls
 from cactusloftd import _gate
 from cactusloftd.resident import _delivery
+from cactusloftd.resident import _runs
+from cactusloftd.resident import _service_times
 from cactusloftd.resident import _worker
 
 # Share of the time until an answer loses worth that a call may wait for a
@@ -33,10 +34,6 @@
 LOOK_DELAY_S = 0.05
 # Calls lost within this time before a crash was seen count as lost by it.
 CRASH_WINDOW_S = 0.5
-# Weight of the newest call in the mean service time, of all calls and of
-# those of one route.
-SERVICE_SMOOTHING = 0.05
-ROUTE_SMOOTHING = 0.1
 NO_SLOT = 'no slot in time'
 _E = errors.ErrorKind
 _G = controller.Verdict
@@ -72,8 +69,7 @@
         self._losses = collections.deque()
         self._look = None
         self._loss_id = ''
-        self._service_s = 0.0
-        self._route_s = {}
+        self._times = _service_times.ServiceTimes()
         self._running = {}
         self._is_stopping = False
         self.on_change = lambda: None
@@ -113,7 +109,7 @@
 
     def find_service_time(self, route):
         """Return the mean seconds of a route's calls here, or None."""
-        return self._route_s.get(route)
+        return self._times.find(route)
 
     def find_running(self, call_id):
         """Return the context of a call that runs here, or None."""
@@ -187,7 +183,7 @@
             self._now() - arrived_at,
             _PRIORITY_NAMES[call.context.priority],
         )
-        run = _Run(call, gate, ticket, self._delivery)
+        run = _runs.Run(call, gate, ticket, self._delivery)
         # The backend server may have begun to leave while the call waited.
         if not self.is_serving or gate is not self._gate:
             self._release(run)
@@ -235,7 +231,7 @@
         ahead = admission.count_ahead(ticket)
         if not ahead:
             return False
-        per_call_s = self._service_s / max(1, admission.compute_limit())
+        per_call_s = self._times.mean_s / max(1, admission.compute_limit())
         return self._now() + ahead * per_call_s > ticket.last_start
 
     def _refuse(self, call, ticket, verdict):
@@ -249,7 +245,7 @@
             in_flight=admission.in_flight,
             queued=admission.queued,
             limit=admission.compute_limit(),
-            service_ms=round(self._service_s * 1000),
+            service_ms=round(self._times.mean_s * 1000),
         )
         return _calls.fail(_E.OVERLOADED, NO_SLOT)
 
@@ -266,7 +262,8 @@
                 run.outcome = _O.SUCCESS
                 if response.status >= 500:
                     run.outcome = _O.ERROR
-                self._note_service(run)
+                used_s = self._now() - run.ticket.started_at
+                self._times.note(call.route, used_s)
                 is_kept = True
                 return result.Success(self._track(run, response))
             error = outcome.failure()
@@ -344,13 +341,6 @@
             self._worker.is_unreachable = False
             self.on_change()
 
-    def _note_service(self, run):
-        used_s = self._now() - run.ticket.started_at
-        self._service_s += SERVICE_SMOOTHING * (used_s - self._service_s)
-        route = run.call.route
-        mean_s = self._route_s.get(route, used_s)
-        self._route_s[route] = mean_s + ROUTE_SMOOTHING * (used_s - mean_s)
-
     def _track(self, run, response):
         """Return ``response`` that frees the slot when it is closed."""
         close_inner = response.close
@@ -377,7 +367,7 @@
         self._delivery = _delivery.Delivery(
             self._address, heartbeat.instance, self._protocol, self._now
         )
-        self._route_s = {}
+        self._times.forget_routes()
         admission = controller.Admission(
             heartbeat.slots,
             self._now,
@@ -403,17 +393,3 @@
             instance=instance,
             in_flight=self.held,
         )
-
-
-@attrs.define(eq=False)
-class _Run:
-    """One run of a call on the backend server."""
-
-    call: _calls.Call
-    gate: _gate.Gate
-    ticket: controller.Ticket
-    delivery: _delivery.Delivery
-    outcome: controller.Outcome = controller.Outcome.ABANDONED
-    is_released: bool = False
-    is_failed_below: bool = False
-    is_denied_below: bool = False
--- /dev/null
+++ b/daemon/tests/resident/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the resident."""
