--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -65,7 +65,6 @@
         must be called once.
     :ivar is_replayed: whether it is the stored response of an earlier call.
     :ivar is_caused_below: whether a nested call of the run failed.
-    :ivar is_denied_below: whether one of these had no budget to be repeated.
     """
 
     status: int
@@ -75,7 +74,6 @@
     close: abc.Callable[[], abc.Awaitable[None]]
     is_replayed: bool = False
     is_caused_below: bool = False
-    is_denied_below: bool = False
 
 
 Outcome = result.Result[Response, errors.CallError]
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -68,7 +68,6 @@
     :ivar pressure: level of the pressure on this call's route, 0 for none.
     :ivar load: calls that the owner holds for each slot.
     :ivar is_caused_below: whether a nested call of this run failed.
-    :ivar is_denied_below: whether one of these had no budget to be repeated.
     """
 
     status: int
@@ -78,7 +77,6 @@
     pressure: float
     load: float = 0.0
     is_caused_below: bool = False
-    is_denied_below: bool = False
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -197,7 +197,6 @@
         level,
         load,
         response.is_caused_below,
-        response.is_denied_below,
     )
     await stream.send(head, body)
     if is_small:
@@ -238,7 +237,6 @@
             chunks,
             close,
             is_caused_below=message.is_caused_below,
-            is_denied_below=message.is_denied_below,
         )
     )
 
--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -21,7 +21,6 @@
 
     :ivar most_reached: backend servers that may get the call.
     :ivar reached: owners whose backend server got it, or may have got it.
-    :ivar is_denied: whether the budget allowed no further repeat.
     :ivar sends: how often one of these got it.
     :ivar decliners: name and runner of owners whose backend server declined
         to run it although it was in time.
@@ -39,7 +38,6 @@
     sends: int = 0
     decliners: collections.deque = attrs.Factory(collections.deque)
     may_have_run: bool = False
-    is_denied: bool = False
     is_sent: bool = False
     owner: str = ''
     failed_answer: object = None
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -106,6 +106,8 @@
             call.context.is_repeat
         )
         outcome = await self._admit(call, route)
+        if request.parent_id and _attempts.is_failed(outcome):
+            self._owner.note_nested_failure(request.parent_id)
         self._metrics.record(
             'cactusloft_call_duration_seconds',
             self._now() - arrived_at,
@@ -208,9 +210,6 @@
             if attempt.is_sent:
                 self._note_run(call, attempt.owner, outcome)
         settled = attempt.settle(outcome)
-        parent_id = call.context.parent_call_id
-        if parent_id and _attempts.is_failed(settled):
-            self._owner.note_nested_failure(parent_id, attempt.is_denied)
         unused = attempt.failed_answer
         if unused is not None and unused is not settled:
             await unused.unwrap().close()
@@ -296,9 +295,8 @@
             response = outcome.unwrap()
             if response.status < 500 or not context.idempotent:
                 return False
-            if response.is_denied_below:
-                # A new run makes all nested calls again, the denied one too.
-                attempt.is_denied = True
+            if response.is_caused_below:
+                # The nested call had its repeats; a new run makes all of them.
                 return False
             if attempt.failed_answer is None:
                 attempt.failed_answer = outcome
@@ -331,7 +329,6 @@
         )
         if is_given:
             budget.spend()
-        attempt.is_denied = not has_room
         self._log.record(
             _V.CALL_RETRIED if is_given else _V.RETRY_DENIED,
             call_id=context.call_id,
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -116,15 +116,11 @@
         run = self._running.get(call_id)
         return run.call.context if run else None
 
-    def note_nested_failure(self, call_id, is_denied):
-        """Take note that a nested call of one that runs here failed.
-
-        :param is_denied: whether it was not repeated for lack of budget.
-        """
+    def note_nested_failure(self, call_id):
+        """Take note that a nested call of one that runs here failed."""
         run = self._running.get(call_id)
         if run is not None:
             run.is_failed_below = True
-            run.is_denied_below |= is_denied
 
     def take_heartbeat(self, heartbeat):
         """Take what the backend server says of itself."""
@@ -258,7 +254,6 @@
             if isinstance(outcome, result.Success):
                 response = outcome.unwrap()
                 response.is_caused_below = run.is_failed_below
-                response.is_denied_below = run.is_denied_below
                 run.outcome = _O.SUCCESS
                 if response.status >= 500:
                     run.outcome = _O.ERROR
--- a/daemon/src/cactusloftd/resident/_runs.py
+++ b/daemon/src/cactusloftd/resident/_runs.py
@@ -14,7 +14,6 @@
 
     :ivar is_released: whether its slot is free again.
     :ivar is_failed_below: whether a nested call of it failed.
-    :ivar is_denied_below: whether one of these had no budget for a repeat.
     """
 
     call: _calls.Call
@@ -24,4 +23,3 @@
     outcome: controller.Outcome = controller.Outcome.ABANDONED
     is_released: bool = False
     is_failed_below: bool = False
-    is_denied_below: bool = False
