--- a/daemon/src/cactusloftd/resident/_line_log.py
+++ b/daemon/src/cactusloftd/resident/_line_log.py
@@ -84,9 +84,11 @@
     :param daemon: name of the daemon.
     :param hybrid_clock: :class:`clock.HybridClock`.
     :param writer: :class:`LineWriter`.
+    :param lines_per_s: lines a second of each kind of event, None for the
+        limits above.
     """
 
-    def __init__(self, daemon, hybrid_clock, writer):
+    def __init__(self, daemon, hybrid_clock, writer, lines_per_s=None):
         logger = structlog.wrap_logger(
             structlog.WriteLogger(writer),
             processors=[
@@ -98,6 +100,7 @@
         self._lines = logger
         self._writer = writer
         self._budgets = {}
+        self._lines_per_s = lines_per_s
         self._reported_at = time.monotonic()
         self._reported = 0
 
@@ -114,7 +117,9 @@
             self._report_dropped(now)
         budget = self._budgets.get(event)
         if budget is None:
-            rate = SERVED_LINES_PER_S if event in _SERVED else LINES_PER_S
+            rate = self._lines_per_s
+            if rate is None:
+                rate = SERVED_LINES_PER_S if event in _SERVED else LINES_PER_S
             budget = self._budgets[event] = _Budget(rate, now)
         return budget.take(now)
 
