--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cactusloft_admission import controller
+import cactusloft_link as link
 
 
 class AdmissionGate:
@@ -44,7 +45,7 @@
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[ticket] = waiter
         try:
-            async with asyncio.timeout(ticket.last_start - self._now()):
+            with link.limit(ticket.last_start - self._now()):
                 return await waiter
         except TimeoutError:
             self._withdraw(ticket, is_late=True)
--- a/daemon/src/cactusloftd/resident/_delivery.py
+++ b/daemon/src/cactusloftd/resident/_delivery.py
@@ -5,6 +5,7 @@
 
 from returns import result
 
+import cactusloft_link as link
 from cactusloft_model import errors
 from cactusloftd import _calls
 from cactusloftd import _headers
@@ -87,7 +88,7 @@
         head = self._protocol.write_head(call, self._instance, remaining_ms)
         connection.send(context.call_id, call.method, head + call.body)
         try:
-            async with asyncio.timeout(remaining_ms / 1000 + DEADLINE_GRACE_S):
+            with link.limit(remaining_ms / 1000 + DEADLINE_GRACE_S):
                 response = await connection.receive_whole()
         except TimeoutError:
             return _calls.fail(_E.DEADLINE_EXCEEDED)
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -5,11 +5,10 @@
 assumes that it may have run.
 """
 
-import asyncio
-
 from returns import pipeline
 from returns import result
 
+import cactusloft_link as link
 from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_model import events
@@ -204,7 +203,7 @@
         attempt = _attempts.Attempt(call, max_runs)
         timeout_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
         try:
-            async with asyncio.timeout(timeout_s):
+            with link.limit(timeout_s):
                 outcome = await self._run_attempt(attempt)
         except TimeoutError:
             outcome = _calls.fail(_E.DEADLINE_EXCEEDED)
--- a/daemon/src/cactusloftd/resident/_exchange.py
+++ b/daemon/src/cactusloftd/resident/_exchange.py
@@ -10,6 +10,8 @@
 import attrs
 import httptools
 
+import cactusloft_link as link
+
 # A response up to this size is buffered before any of it is forwarded, so that
 # the call can still be retried if the response is truncated.
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -170,6 +172,9 @@
             self._fail(f'malformed response: {error!r}')
         except httptools.HttpParserUpgrade:
             self._fail('response asks for a protocol upgrade')
+        # Only now, since the waiting task continues at once: it must know
+        # whether a second response follows the first one.
+        self._wake()
 
     def eof_received(self):
         """Complete a response that has neither length nor chunks."""
@@ -227,7 +232,6 @@
             None if length is None else int(length),
             metadata,
         )
-        self._wake()
 
     def on_body(self, data):
         """Store a part of the body."""
@@ -236,13 +240,11 @@
         self._response.body += data
         if len(self._response.body) > MAX_UNREAD_BYTES:
             self._transport.pause_reading()
-        self._wake()
 
     def on_message_complete(self):
         """Complete the response."""
         if self._response is not None and not self._is_skipping:
             self._response.is_complete = True
-            self._wake()
         elif self._response is None:
             # The response to the current request may still follow.
             self._is_skipping = False
@@ -260,11 +262,11 @@
         self._wake()
 
     def _wake(self):
-        if self._changed is not None and not self._changed.done():
-            self._changed.set_result(None)
+        if self._changed is not None:
+            self._changed.set()
 
     async def _wait(self):
         if self._failure is not None:
             raise ExchangeLostError(self._failure)
-        self._changed = asyncio.get_running_loop().create_future()
+        self._changed = link.Wakeup()
         await self._changed
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -168,7 +168,7 @@
         )
         self._plane.start()
         self._node.listen(self._settings.listeners.peers)
-        jobs = [self._buckets.run()]
+        jobs = []
         if self._plane.replica is not None:
             entry = _group_entry.GroupEntry(
                 self._plane,
@@ -176,7 +176,11 @@
                 self._settings.least_voters,
                 self.log,
             )
-            jobs += [entry.run(), self._registrations.run()]
+            jobs += [
+                entry.run(),
+                self._registrations.run(),
+                self._buckets.run(),
+            ]
         if self._host_context.backend_server:
             jobs += [
                 self._report_registration(),
@@ -214,7 +218,9 @@
         After an I/O error a replica no longer knows what its disk holds.
         """
         replica = self._plane.replica
-        while replica is None or not replica.failure:
+        if replica is None:
+            await asyncio.Event().wait()
+        while not replica.failure:
             await asyncio.sleep(FAILURE_POLL_S)
         await asyncio.sleep(RESTART_DELAY_S)
 
--- a/libs/link/src/cactusloft_link/_listener.py
+++ b/libs/link/src/cactusloft_link/_listener.py
@@ -98,7 +98,7 @@
         if frame.type is _Type.PING:
             self._send(connection, _Type.PONG, 0)
         elif frame.type is _Type.REQUEST:
-            self._node.spawn(self._handle_request(connection, frame, age_s))
+            self._node.start(self._handle_request(connection, frame, age_s))
         elif frame.type is _Type.STREAM_OPEN:
             self._open_stream(connection, frame, age_s)
         else:
@@ -137,7 +137,7 @@
         )
         stream.age_s = age_s
         connection.streams[frame.exchange] = stream
-        task = self._node.spawn(self._serve_stream(handler, stream, frame))
+        task = self._node.start(self._serve_stream(handler, stream, frame))
         # Cancels the handler when the peer reset the stream or is lost.
         stream.on_lost = task.cancel
 
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -18,6 +18,7 @@
 
 from cactusloft_link import _codec
 from cactusloft_link import _errors
+from cactusloft_link import _immediate
 from cactusloft_link import _listener
 from cactusloft_link import _monitor
 from cactusloft_link import _plain
@@ -151,7 +152,7 @@
         for address in list(self._links):
             self.disconnect(address)
         self._listener.close()
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         if self._authenticator is not None:
             self._authenticator.stop()
@@ -185,6 +186,17 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def start(self, coroutine):
+        """Run a coroutine at once; cancel it when the node closes."""
+        task = _immediate.ImmediateTask(coroutine, self._report_failure)
+        if not task.done():
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _report_failure(self, error):
+        self.on_event('handler_failed', detail=repr(error))
+
     def make_dealer(self, address, on_parts, on_connected, on_disconnected):
         """Return a connecting socket, and its monitor or None."""
         if self._key_pair is None:
--- a/libs/link/src/cactusloft_link/_streams.py
+++ b/libs/link/src/cactusloft_link/_streams.py
@@ -5,11 +5,11 @@
 only its own stream and the memory of each stream is bounded.
 """
 
-import asyncio
 import collections
 
 from cactusloft_link import _codec
 from cactusloft_link import _errors
+from cactusloft_link import _immediate
 
 WINDOW_BYTES = 256 * 1024
 CREDIT_BATCH_BYTES = 64 * 1024
@@ -47,7 +47,7 @@
         :raises StreamLostError: when the stream has ended or ends meanwhile.
         """
         while payload and self._credit_bytes <= 0 and not self._is_lost:
-            self._credit_waiter = asyncio.get_running_loop().create_future()
+            self._credit_waiter = _immediate.Wakeup()
             await self._credit_waiter
         self._check_open()
         self._credit_bytes -= len(payload)
@@ -64,7 +64,7 @@
         """
         while not self._received:
             self._check_open()
-            self._receive_waiter = asyncio.get_running_loop().create_future()
+            self._receive_waiter = _immediate.Wakeup()
             await self._receive_waiter
         frame = self._received.popleft()
         self._return_credit(len(frame.payload))
@@ -73,7 +73,7 @@
     async def wait_closed(self):
         """Wait until the stream is closed by either end or lost."""
         while not self._is_closed:
-            self._receive_waiter = asyncio.get_running_loop().create_future()
+            self._receive_waiter = _immediate.Wakeup()
             await self._receive_waiter
 
     def close(self):
@@ -135,8 +135,8 @@
 
 
 def _wake(waiter):
-    if waiter is not None and not waiter.done():
-        waiter.set_result(None)
+    if waiter is not None:
+        waiter.set()
 
 
 def _do_nothing():
