Send changed members instead of all, and watch the own data centre

Every change of a member sent the whole table to every daemon, and daemons did not know where control hosts are, so five of six watched one in another data centre. Change: the addresses of replicas name their data centre; tables of members hold the difference to what the daemon has; changes within 0.15 s go together.

--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -66,17 +66,24 @@
 
 @attrs.frozen
 class ReplicaAddress:
-    """ReplicaAddress of a replica, as stored in the group's membership."""
+    """ReplicaAddress of a replica, as stored in the group's membership.
+
+    :ivar data_centre: empty when unknown.
+    """
 
     daemon: str
     endpoint: str
     public_key: str
+    data_centre: str = ''
 
     @classmethod
     def parse(cls, text):
         """Parse the address text of a member."""
-        daemon, endpoint, key = text.split()
-        return cls(daemon, endpoint, '' if key == NO_KEY else key)
+        # Addresses stored by earlier versions have no data centre.
+        daemon, endpoint, key, *data_centre = text.split()
+        return cls(
+            daemon, endpoint, '' if key == NO_KEY else key, *data_centre
+        )
 
     @property
     def peer(self):
@@ -87,7 +94,9 @@
 def make_address(settings):
     """Return the address text at which other replicas reach this daemon."""
     key = settings.security.public_key or NO_KEY
-    return f'{settings.name} {settings.listeners.peers} {key}'
+    address = f'{settings.name} {settings.listeners.peers} {key}'
+    has_word = len(settings.data_centre.split()) == 1
+    return f'{address} {settings.data_centre}' if has_word else address
 
 
 class ControlReplica:
--- a/daemon/src/cactusloftd/_control_hosts.py
+++ b/daemon/src/cactusloftd/_control_hosts.py
@@ -51,7 +51,7 @@
         hosts = (
             ControlHost(
                 member.daemon,
-                '',
+                member.data_centre,
                 link.PeerAddress(member.peers, member.public_key),
             )
             for member in members
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -46,6 +46,8 @@
         self._view = view
         self._now = now
         self._known_services = set()
+        # Registrations by name that the home sent.
+        self._registrations = {}
         self._first_used_at = {}
         self._table_received = asyncio.Event()
         self._reported_sequence = 0
@@ -104,7 +106,14 @@
         """Apply the table of members that the home sent."""
         table = msgspec.msgpack.decode(content, type=_messages.MembersTable)
         self._is_settled = self._is_settled or table.is_settled
-        self._view.update(table.services, table.members, self._now())
+        if not table.is_difference:
+            self._registrations.clear()
+        for name in table.removed:
+            self._registrations.pop(name, None)
+        self._registrations.update((m.name, m) for m in table.members)
+        self._view.update(
+            table.services, self._registrations.values(), self._now()
+        )
         self._known_services.update(table.services)
         self._acked_sequence = max(self._acked_sequence, table.sequence)
         self._table_received.set()
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -164,13 +164,19 @@
 
     :ivar sequence: sequence of the last registration accepted.
     :ivar services: services that were asked for.
+    :ivar members: all members, or those that changed since the version that
+        the daemon has.
     :ivar is_settled: whether all daemons have had time to register.
+    :ivar is_difference: whether ``members`` and ``removed`` are changes.
+    :ivar removed: names of daemons that are no longer members.
     """
 
     sequence: int
     services: tuple[str, ...]
     members: tuple[registry.Registration, ...]
     is_settled: bool = True
+    is_difference: bool = False
+    removed: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -234,6 +240,7 @@
     """A control replica and the address of its daemon.
 
     :ivar peers: endpoint of the peer listener, ``IP:port``.
+    :ivar data_centre: empty when unknown.
     """
 
     replica_id: str
@@ -241,6 +248,7 @@
     peers: str
     public_key: str
     is_voter: bool
+    data_centre: str = ''
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_registrations.py
+++ b/daemon/src/cactusloftd/_registrations.py
@@ -19,6 +19,9 @@
 # Several heartbeats fit into the lease of a home.
 HEARTBEAT_INTERVAL_S = 0.5
 SEND_TIMEOUT_S = 1.0
+# Changes of members within this time are sent to the daemons together. When
+# all daemons restart in turn, each change would otherwise go to all of them.
+NOTICE_DELAY_S = 0.15
 # A control host whose confirmation is older than this may be isolated. It then
 # sends no members to daemons that have a complete table, which begins before
 # its copies of the other home tables expire.
@@ -50,7 +53,10 @@
         self._copies = exchange.HomeCopies(self._registry)
         self._settled_at = now() + exchange.REGISTRATION_SETTLE_S
         self._reports = {}
+        # Version and members of the last table sent to each daemon.
+        self._sent = {}
         self._notified_changes = 0
+        self._notice = None
         self._notified_sequence = 0
         self._table_changed = asyncio.Event()
         self.on_change = lambda: None
@@ -76,11 +82,23 @@
             return None
         if not is_settled and not report.takes_part:
             return None
+        members = {
+            member.name: member
+            for member in self._registry.list_members(report.services, now)
+        }
+        sent_version, sent = self._sent.get(daemon, (0, {}))
+        is_difference = bool(request.known) and sent_version == request.known
+        changed, removed = members.values(), ()
+        if is_difference:
+            changed, removed = _list_differences(sent, members)
+        self._sent[daemon] = version, members
         table = _messages.MembersTable(
             report.registration.sequence,
             report.services,
-            tuple(self._registry.list_members(report.services, now)),
+            tuple(changed),
             is_settled,
+            is_difference,
+            tuple(removed),
         )
         content = msgspec.msgpack.encode(table)
         return _messages.Table(TABLE, version, content)
@@ -174,6 +192,7 @@
         ]
         for name in removed:
             del self._reports[name]
+            self._sent.pop(name, None)
 
     def _compute_version(self, report, now):
         """Return a version that changes with anything the table depends on.
@@ -211,6 +230,29 @@
             self._notified_sequence = self._table.sequence
             self._table_changed.set()
             self._table_changed = asyncio.Event()
-        if self._notified_changes != self._registry.changes:
-            self._notified_changes = self._registry.changes
-            self.on_change()
+        if (
+            self._notified_changes != self._registry.changes
+            and self._notice is None
+        ):
+            loop = asyncio.get_running_loop()
+            self._notice = loop.call_later(NOTICE_DELAY_S, self._wake_watches)
+
+    def _wake_watches(self):
+        self._notice = None
+        self._notified_changes = self._registry.changes
+        self.on_change()
+
+
+def _list_differences(sent, members):
+    """Return the changed members and the names of the removed ones.
+
+    :param sent: registrations by name that the daemon has.
+    :param members: present registrations by name.
+    """
+    changed = [
+        member
+        for name, member in members.items()
+        if name not in sent
+        or (sent[name] is not member and not member.is_same_member(sent[name]))
+    ]
+    return changed, [name for name in sent if name not in members]
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -76,6 +76,7 @@
         self._has_fixed_document = bool(settings.document_file)
         self._control_hosts = settings.control_hosts
         self._rotation = _control_hosts.Rotation(settings, random_source)
+        self._watched_name = ''
         self._is_relay = _control_hosts.is_control_host(settings)
         self.relays = 0
         self.group = _messages.NO_GROUP
@@ -149,16 +150,15 @@
         self.install_from_replica()
 
     def _move(self):
-        """Switch to the next control host.
-
-        Table versions are those of one control host, so the known ones are
-        discarded.
-        """
-        self._known_versions.clear()
+        """Switch to the next control host."""
         self._rotation.advance()
 
     async def _watch(self, host):
         """Poll ``host`` once; tell whether to go on with it."""
+        if host.name != self._watched_name:
+            # Table versions are those of one control host.
+            self._known_versions.clear()
+            self._watched_name = host.name
         peer = self._node.connect(host.address)
         if not await peer.wait_until_up(CONNECT_TIMEOUT_S):
             return False
@@ -260,6 +260,7 @@
                 address.endpoint,
                 address.public_key,
                 member.is_voter,
+                address.data_centre,
             )
         )
     return _messages.ControlGroup(
