Ask owners for a free slot before a call waits

Change: the entry asks up to two owners that start the call only in a free slot; then it waits at the least loaded of them. An entry that mostly finds a service busy asks less (resident/_placing.py).

--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -30,6 +30,8 @@
     :ivar host: host name that the caller addressed.
     :ivar caller_service: service of the backend server on whose host the call
         began, empty if unknown.
+    :ivar needs_free_slot: whether the owner is to refuse the call at once
+        unless its backend server has a free slot.
     :ivar patience_s: seconds from arrival after which the caller has little
         use for the response, 0 if unknown.
     """
@@ -44,6 +46,7 @@
     host: str = ''
     caller_service: str = ''
     patience_s: float = 0.0
+    needs_free_slot: bool = False
 
     @property
     def path(self):
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -242,6 +242,11 @@
         self._chooser = chooser
         self._now = now
 
+    @property
+    def load(self):
+        """Return the calls per slot that the last reply reported, or None."""
+        return self._owner.load
+
     def read_pressure(self, call):
         """Return the pressure that the response reported."""
         return self._owner.read_pressure(call)
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -25,6 +25,7 @@
         the response, 0 if unknown.
     :ivar is_repeat: whether the call or one of its parents was sent before.
     :ivar rank: rank of the call tree, above 0 and at most 1.
+    :ivar needs_free_slot: whether to refuse the call unless it can start now.
     """
 
     call_id: str
@@ -48,6 +49,7 @@
     patience_ms: int = 0
     is_repeat: bool = False
     rank: float = 1.0
+    needs_free_slot: bool = False
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -141,6 +141,7 @@
         patience_ms=int(call.patience_s * 1000),
         is_repeat=context.is_repeat,
         rank=context.rank,
+        needs_free_slot=call.needs_free_slot,
     )
 
 
@@ -157,6 +158,7 @@
         host=start.host,
         caller_service=start.caller_service,
         patience_s=start.patience_ms / 1000,
+        needs_free_slot=start.needs_free_slot,
     )
 
 
--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -8,6 +8,7 @@
 from cactusloft_model import errors
 from cactusloftd import _calls
 from cactusloftd.resident import _delivery
+from cactusloftd.resident import _owner
 
 # Retry-After of a call refused for lack of capacity. Long enough for a queue
 # to drain, short enough for the client to retry before its deadline.
@@ -27,7 +28,11 @@
         may receive the call several times.
     :ivar declined_owners: name and runner of each owner whose backend server
         declined to run the call.
+    :ivar offers_left: number of owners that may still be asked for a free
+        slot before the call waits for one.
+    :ivar full_owners: load, name and runner of each owner that had none.
     :ivar may_have_run: whether a backend server may have run the call.
+    :ivar is_offer: whether the owner is only asked for a free slot.
     :ivar is_in_flight: whether an owner is processing the call now.
     :ivar owner: name of the owner that was tried last.
     :ivar failed_outcome: outcome with the first error response of a backend
@@ -40,8 +45,11 @@
     reached: set[str] = attrs.Factory(set)
     sends: int = 0
     declined_owners: collections.deque = attrs.Factory(collections.deque)
+    offers_left: int = 0
+    full_owners: list = attrs.Factory(list)
     may_have_run: bool = False
     is_in_flight: bool = False
+    is_offer: bool = False
     owner: str = ''
     failed_outcome: object = None
 
@@ -58,15 +66,26 @@
 
     def make_call_to_send(self):
         """Return the call for the next owner, marked as a repeat if it is."""
-        if not self.sends or self.call.context.is_repeat:
-            return self.call
-        context = attrs.evolve(self.call.context, is_repeat=True)
-        return attrs.evolve(self.call, context=context)
+        call = self.call
+        if self.sends and not call.context.is_repeat:
+            context = attrs.evolve(call.context, is_repeat=True)
+            call = attrs.evolve(call, context=context)
+        if self.is_offer:
+            call = attrs.evolve(call, needs_free_slot=True)
+        return call
+
+    def take_least_loaded(self):
+        """Remove and return name and runner of the best full owner."""
+        best = min(self.full_owners, key=lambda owner: owner[0])
+        self.full_owners.remove(best)
+        return best[1:]
 
     def record_outcome(self, name, runner, outcome):
         """Count a send that reached a backend server."""
         if isinstance(outcome, result.Failure):
             error = outcome.failure()
+            if error.detail == _owner.NO_FREE_SLOT:
+                self.full_owners.append((runner.load or 1.0, name, runner))
             if is_not_run(error) and not is_declined(error):
                 return
             if is_declined(error):
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -18,6 +18,7 @@
 from cactusloftd.resident import _attempts
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _owner
+from cactusloftd.resident import _placing
 from cactusloftd.resident import _splits
 
 # Owners tried for one call. More would add load when every owner is full.
@@ -45,7 +46,11 @@
 # The owner did not send the call to its backend server, so trying another
 # owner does not count as a retry.
 _NOT_SENT_KINDS = (_E.NO_BACKEND_SERVER, _E.SHUTTING_DOWN)
-_NOT_SENT_DETAILS = (_owner.NO_SLOT, _delivery.UNREACHABLE)
+_NOT_SENT_DETAILS = (
+    _owner.NO_SLOT,
+    _owner.NO_FREE_SLOT,
+    _delivery.UNREACHABLE,
+)
 
 
 class Entry:
@@ -85,6 +90,7 @@
         self._now = now
         self._splits = _splits.SplitChooser()
         self._budgets = {}
+        self._placing = _placing.Placing()
 
     async def serve(self, request, caller_service):
         """Handle one request.
@@ -201,6 +207,7 @@
         """Try owners until one responds or the deadline passes."""
         await self._members.prepare(call.context.service)
         attempt = _attempts.Attempt(call, max_runs)
+        attempt.offers_left = self._placing.count_offers(call.context.service)
         timeout_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
         try:
             with link.limit(timeout_s):
@@ -221,7 +228,11 @@
         outcome = _calls.fail(
             _E.NO_BACKEND_SERVER, 'no member', _TRUE, NO_MEMBER_RETRY_AFTER_S
         )
-        while len(attempt.tried) < MAX_OWNERS or attempt.declined_owners:
+        while (
+            len(attempt.tried) < MAX_OWNERS
+            or attempt.declined_owners
+            or attempt.full_owners
+        ):
             name, runner = self._choose_next(attempt)
             if runner is None:
                 break
@@ -230,6 +241,7 @@
             attempt.is_in_flight = False
             self._record_run(call, name, outcome)
             attempt.record_outcome(name, runner, outcome)
+            self._placing.record(call.context.service, _is_full(outcome))
             if not self._may_resend(attempt, outcome):
                 break
         return outcome
@@ -237,8 +249,16 @@
     def _choose_next(self, attempt):
         """Return name and runner of the next owner to try, or two Nones."""
         choice = None, None
-        if attempt.may_try_another and len(attempt.tried) < MAX_OWNERS:
+        may_try_new = len(attempt.tried) < MAX_OWNERS
+        attempt.is_offer = attempt.offers_left > 0
+        attempt.offers_left -= attempt.is_offer
+        if not attempt.is_offer and attempt.full_owners:
+            return attempt.take_least_loaded()
+        if attempt.may_try_another and may_try_new:
             choice = self._choose_owner(attempt.call, attempt.tried)
+        if choice[1] is None and attempt.full_owners:
+            attempt.is_offer = False
+            return attempt.take_least_loaded()
         # Backend servers decline calls at random, so one that declined the
         # call may accept it the next time.
         if choice[1] is None and attempt.declined_owners:
@@ -399,3 +419,10 @@
             after_ms=round((self._now() - arrived_at) * 1000),
             **fields,
         )
+
+
+def _is_full(outcome):
+    """Tell whether an owner had no slot for a call."""
+    if isinstance(outcome, result.Success):
+        return False
+    return outcome.failure().detail in (_owner.NO_FREE_SLOT, _owner.NO_SLOT)
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -36,6 +36,7 @@
 # Calls lost within this time before a detected crash are attributed to it.
 CRASH_WINDOW_S = 0.5
 NO_SLOT = 'no slot in time'
+NO_FREE_SLOT = 'no free slot'
 _E = errors.ErrorKind
 _G = controller.Verdict
 _O = controller.Outcome
@@ -180,6 +181,8 @@
         if refused is not None:
             return refused
         gate, arrived_at = self._gate, self._now()
+        if call.needs_free_slot and not gate.has_capacity:
+            return _calls.fail(_E.OVERLOADED, NO_FREE_SLOT)
         ticket = self._make_ticket(call, arrived_at)
         if self._would_start_late(ticket):
             return self._refuse(call, ticket, _G.EVICTED)
--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -14,6 +14,7 @@
 from cactusloftd import _metrics
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _entry
+from cactusloftd.resident import _owner
 from cactusloftd.resident import protocol
 
 _E = errors.ErrorKind
@@ -67,15 +68,21 @@
 
 
 class Member:
-    """A remote owner with a fixed outcome; None never responds."""
+    """A remote owner with a fixed outcome; None never responds.
 
-    def __init__(self, name, outcome):
+    :ivar load: calls per slot that it reports; from 1 on it has no free slot.
+    """
+
+    def __init__(self, name, outcome, load=0.0):
+        self.load = load
         self.name = name
         self.outcome = outcome
         self.calls = []
 
     async def run(self, call):
         self.calls.append(call)
+        if call.needs_free_slot and self.load >= 1.0:
+            return NO_FREE_SLOT
         if self.outcome is None:
             await asyncio.sleep(10)
         return self.outcome
@@ -205,6 +212,7 @@
     _E.BACKEND_SERVER_FAILED, _delivery.UNREACHABLE, _N.TRUE
 )
 DECLINED = _calls.fail(_E.OVERLOADED, _delivery.DECLINED)
+NO_FREE_SLOT = _calls.fail(_E.OVERLOADED, _owner.NO_FREE_SLOT)
 NO_SLOT = _calls.fail(_E.OVERLOADED, 'no slot in time')
 NOT_SERVING = _calls.fail(_E.NO_BACKEND_SERVER, 'not serving')
 
--- a/daemon/tests/test_registrations.py
+++ b/daemon/tests/test_registrations.py
@@ -110,7 +110,7 @@
 
 
 def test_removed_member_is_not_kept():
-    """A reply that never arrived must not lose the members in it."""
+    """A server that left must not get work after a difference."""
 
     def check(home):
         home.store(make_member('d1'), make_member('d2'))
