Bound bytes without an end, and keep late copies from second attempts

Cause: a backend server could fill the memory with headers, trailers, chunk extensions, interim responses or responses with another id, and a body without an end held its slot for ever; clients likewise, and the bodies of all clients together had no bound (64 MiB each on hosts of 200 MB). Found on the way: a call that a backend server declined may be offered to it again with the same id, on the same connection; a late copy of the refusal was then taken for the second response, so an order that ran was reported as not run. Change: bytes beside the body are bounded in proportion to it, skipped responses in number and bytes, streamed bodies by the deadline, held bodies of all clients by one limit (503: nothing was passed on). A connection is not used for an id that it has carried.

--- a/daemon/src/cactusloftd/resident/_delivery.py
+++ b/daemon/src/cactusloftd/resident/_delivery.py
@@ -22,6 +22,9 @@
 # After the deadline, the backend server's own timeout error may still be in
 # transit.
 DEADLINE_GRACE_S = 0.12
+# A streamed body ends this long after the deadline at the latest. Its client
+# has left by then, or reads a body that may have no end.
+MAX_BODY_OVERTIME_S = 2.0
 OTHER_INSTANCE = 'the address belongs to another backend server'
 DECLINED = 'declined by the backend server'
 UNREACHABLE = 'the backend server takes no connection'
@@ -60,7 +63,9 @@
         :returns: ``Success(Response)`` or ``Failure(CallError)``.
         """
         try:
-            connection = self._take_idle() or await self._connect()
+            connection = (
+                self._take_idle(call.context.call_id) or await self._connect()
+            )
         except (OSError, TimeoutError):
             return _calls.fail(_E.BACKEND_SERVER_FAILED, UNREACHABLE, _TRUE)
         is_handed_over = False
@@ -98,9 +103,11 @@
             return _calls.fail(_E.NO_BACKEND_SERVER, OTHER_INSTANCE, _TRUE)
         if response.metadata.is_not_run:
             return _calls.fail(_E.OVERLOADED, DECLINED)
-        return result.Success(self._make_response(connection, response))
+        return result.Success(
+            self._make_response(connection, response, context.deadline)
+        )
 
-    def _make_response(self, connection, response):
+    def _make_response(self, connection, response, deadline):
         headers = _headers.select_end_to_end_headers(
             _HeaderPairs(response.headers)
         )
@@ -122,22 +129,30 @@
             response.status,
             headers,
             response.length,
-            _iterate_body(connection),
+            self._iterate_body(connection, deadline),
             close,
         )
 
-    def _take_idle(self):
+    def _take_idle(self, attempt_id):
+        """Return an idle connection that is safe for an attempt, or None."""
         now = self._now()
-        while self._idle:
+        skipped = []
+        chosen = None
+        while self._idle and chosen is None:
             connection = self._idle.pop()
+            if connection.has_carried(attempt_id):
+                skipped.append(connection)
+                continue
             max_idle_s = (
                 connection.idle_s or DEFAULT_IDLE_TIMEOUT_S
             ) - IDLE_MARGIN_S
             is_fresh = now - connection.idle_since < max_idle_s
             if is_fresh and connection.is_reusable:
-                return connection
-            connection.abort()
-        return None
+                chosen = connection
+            else:
+                connection.abort()
+        self._idle.extend(reversed(skipped))
+        return chosen
 
     async def _connect(self):
         loop = asyncio.get_running_loop()
@@ -152,6 +167,21 @@
         self._connections.add(connection)
         return connection
 
+    async def _iterate_body(self, connection, deadline):
+        chunks = connection.iterate_body()
+        end_at = deadline + MAX_BODY_OVERTIME_S
+        try:
+            while True:
+                with link.limit(end_at - self._now()):
+                    chunk = await anext(chunks, None)
+                if chunk is None:
+                    return
+                yield chunk
+        except TimeoutError as error:
+            raise _calls.ResponseCut('body without an end') from error
+        except _exchange.ExchangeLostError as error:
+            raise _calls.ResponseCut(str(error)) from error
+
     def _release(self, connection):
         connection.finish(self._now())
         if not connection.is_closed:
@@ -171,11 +201,3 @@
 
     def items(self):
         return self._pairs
-
-
-async def _iterate_body(connection):
-    try:
-        async for chunk in connection.iterate_body():
-            yield chunk
-    except _exchange.ExchangeLostError as error:
-        raise _calls.ResponseCut(str(error)) from error
--- a/daemon/src/cactusloftd/resident/_exchange.py
+++ b/daemon/src/cactusloftd/resident/_exchange.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 
 import attrs
 import httptools
@@ -17,6 +18,16 @@
 MAX_BUFFERED_BYTES = 64 * 1024
 # Reading from the socket is paused above this size.
 MAX_UNREAD_BYTES = 256 * 1024
+# Attempt ids that a connection remembers.
+MAX_KEPT_IDS = 16
+# Bytes that are no part of a body (heads, chunk sizes, trailers), in addition
+# to ``MAX_OVERHEAD_RATIO`` times the bytes of the body.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_RATIO = 16
+# Responses with another id and interim responses before the response. Their
+# bytes are bounded as well, since a body may have no end.
+MAX_SKIPPED_RESPONSES = 16
+MAX_SKIPPED_BYTES = 1024 * 1024
 _BODILESS = (204, 304)
 
 
@@ -61,10 +72,15 @@
         self._transport = None
         self._parser = None
         self._attempt_id = ''
+        self._used_ids = collections.deque(maxlen=MAX_KEPT_IDS)
         self._method = ''
         self._headers = []
         self._response = None
         self._is_skipping = False
+        self._overhead_bytes = 0
+        self._body_bytes = 0
+        self._skipped_bytes = 0
+        self._skipped_responses = 0
         self._failure = None
         self._changed = None
         self._keeps_alive = True
@@ -88,6 +104,14 @@
             and not self._transport.get_write_buffer_size()
         )
 
+    def has_carried(self, attempt_id):
+        """Tell whether a request with this id was sent here recently.
+
+        A late copy of the response to it would be taken for the response to
+        a second request with the same id.
+        """
+        return attempt_id in self._used_ids
+
     def send(self, attempt_id, method, content):
         """Send a request; its response is read by :meth:`receive_head`.
 
@@ -96,9 +120,12 @@
         :param content: bytes of the whole request.
         """
         self._attempt_id = attempt_id
+        self._used_ids.append(attempt_id)
         self._method = method
         self._response = None
         self._is_skipping = False
+        self._overhead_bytes = self._body_bytes = 0
+        self._skipped_bytes = self._skipped_responses = 0
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
         self._transport.write(content)
@@ -166,16 +193,32 @@
         if not self._attempt_id:
             self.abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f'malformed response: {error!r}')
         except httptools.HttpParserUpgrade:
             self._fail('response asks for a protocol upgrade')
+        self._check_bounds()
         # Only now, since the waiting task continues at once: it must know
         # whether a second response follows the first one.
         self._wake()
 
+    def _check_bounds(self):
+        """Close the connection if its bytes lead to no end of a response."""
+        max_overhead_bytes = (
+            MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes
+        )
+        is_endless = (
+            self._overhead_bytes > max_overhead_bytes
+            or self._skipped_bytes > MAX_SKIPPED_BYTES
+            or self._skipped_responses > MAX_SKIPPED_RESPONSES
+        )
+        if is_endless and not self.is_closed:
+            self._fail('more bytes than a response may have')
+            self.abort()
+
     def eof_received(self):
         """Complete a response that has neither length nor chunks."""
         response = self._response
@@ -213,11 +256,13 @@
         """Store the head if it has the attempt id of the current request."""
         status = self._parser.get_status_code()
         if self._is_skipping or status < 200:
+            self._skipped_responses += 1
             return
         by_name = {name.lower(): value for name, value in self._headers}
         metadata = self._read_metadata(status, by_name)
         if metadata.attempt_id != self._attempt_id:
             self._is_skipping = True
+            self._skipped_responses += 1
             return
         has_body = self._method != 'HEAD' and status not in _BODILESS
         length = by_name.get('content-length') if has_body else '0'
@@ -235,8 +280,11 @@
 
     def on_body(self, data):
         """Store a part of the body."""
+        self._overhead_bytes -= len(data)
         if self._is_skipping or self._response is None:
+            self._skipped_bytes += len(data)
             return
+        self._body_bytes += len(data)
         self._response.body += data
         if len(self._response.body) > MAX_UNREAD_BYTES:
             self._transport.pause_reading()
--- a/daemon/src/cactusloftd/resident/_http_listener.py
+++ b/daemon/src/cactusloftd/resident/_http_listener.py
@@ -26,6 +26,13 @@
 MAX_CONNECTIONS = 3000
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Bodies of all requests that are being received or handled. The memory of the
+# smallest hosts is 200 MB.
+MAX_HELD_BYTES = 64 * 1024 * 1024
+# Bytes beside the body (head, chunk sizes, trailers) of one request, in
+# addition to ``MAX_OVERHEAD_RATIO`` times the bytes of the body.
+MAX_OVERHEAD_BYTES = 128 * 1024
+MAX_OVERHEAD_RATIO = 16
 # Pipelined requests of one connection that are handled at the same time, and
 # that wait to be handled. They bound the responses that wait for their turn.
 MAX_CONCURRENT_REQUESTS = 4
@@ -59,6 +66,7 @@
         self._server = None
         self._expiry_task = None
         self._connections = set()
+        self._held_bytes = 0
         self.port = 0
 
     async def start(self, endpoint):
@@ -95,6 +103,14 @@
         """Remove a closed connection."""
         self._connections.discard(connection)
 
+    def hold(self, size):
+        """Account for bytes of a body; tell whether the limit allows them.
+
+        :param size: bytes, negative when they are released.
+        """
+        self._held_bytes += size
+        return self._held_bytes <= MAX_HELD_BYTES
+
     def log_malformed_request(self, detail):
         """Log a request that cannot be handled."""
         self._log.record(_V.REQUEST_MALFORMED, detail=detail)
@@ -144,6 +160,7 @@
         self._writable = None
         self._active_at = self._loop.time()
         self._is_receiving = False
+        self._held_bytes = 0
         self._begin_message()
 
     def connection_made(self, transport):
@@ -156,6 +173,7 @@
         """Cancel the request in progress; called by the event loop."""
         self._listener.discard(self)
         self._is_closing = True
+        self._hold(-self._held_bytes)
         self._queue.clear()
         for exchange in self._running:
             if exchange.task is not None:
@@ -179,6 +197,7 @@
             return
         self._active_at = self._loop.time()
         self._is_receiving = True
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -186,6 +205,9 @@
             self._is_closing = True
         except httptools.HttpParserError as error:
             self._refuse(400, type(error).__name__)
+        limit = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes
+        if self._overhead_bytes > limit:
+            self._refuse(431, 'head too large')
         self._start_queued()
 
     def expire(self, now):
@@ -221,9 +243,14 @@
 
     def on_body(self, data):
         """Append to the body."""
+        self._overhead_bytes -= len(data)
         self._body_bytes += len(data)
+        if self._is_closing:
+            return
         if self._body_bytes > MAX_BODY_BYTES:
             self._refuse(413, 'body too large')
+        elif not self._hold(len(data)):
+            self._refuse(503, 'too many bodies at the same time')
         else:
             self._body_parts.append(data)
 
@@ -251,6 +278,11 @@
         self._body_parts = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._overhead_bytes = 0
+
+    def _hold(self, size):
+        self._held_bytes += size
+        return self._listener.hold(size)
 
     def _add_head_bytes(self, size):
         self._head_bytes += size
@@ -298,7 +330,8 @@
 
     def _finish(self, is_last):
         """Let the next response be written, or close the connection."""
-        self._running.popleft()
+        finished = self._running.popleft()
+        self._hold(-min(len(finished.request.body), self._held_bytes))
         self._active_at = self._loop.time()
         if is_last:
             self._is_closing = True
--- a/daemon/tests/resident/test_exchange.py
+++ b/daemon/tests/resident/test_exchange.py
@@ -159,3 +159,68 @@
     )
     assert sum(map(len, chunks)) == size
     assert len(chunks) > 1
+
+
+def make_endless(start, repeated):
+    """Return the pieces of a response that goes on for 4 MB."""
+    return [start, *([repeated * (65536 // len(repeated))] * 64)]
+
+
+@pytest.mark.parametrize(
+    'pieces',
+    [
+        make_endless(b'HTTP/1.1 200 OK\r\n', b'X-Pad: %s\r\n' % (b'p' * 500)),
+        make_endless(b'HTTP/1.1 200 OK\r\nX-Pad: ', b'p'),
+        make_endless(b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+        make_endless(b'', make_response('b2', b'other')),
+        make_endless(
+            b'HTTP/1.1 200 OK\r\nX-Id: b2\r\nContent-Length: 9999999\r\n\r\n',
+            b'other',
+        ),
+        make_endless(
+            b'HTTP/1.1 200 OK\r\nX-Id: a1\r\nTransfer-Encoding: chunked'
+            b'\r\n\r\n5;x=',
+            b'extension',
+        ),
+        make_endless(
+            b'HTTP/1.1 200 OK\r\nX-Id: a1\r\nTransfer-Encoding: chunked'
+            b'\r\n\r\n0\r\n',
+            b'X-Pad: trailer\r\n',
+        ),
+    ],
+    ids=[
+        'headers',
+        'header line',
+        'interim responses',
+        'responses with another id',
+        'body with another id',
+        'chunk extension',
+        'trailers',
+    ],
+)
+def test_bytes_without_an_end_are_cut_off(pieces):
+    """A faulty server must not fill the memory nor hold its slot.
+
+    The exchange fails long before the 5 s after which the test gives up, and
+    the connection is not used again.
+    """
+
+    async def read(connection):
+        with pytest.raises(_exchange.ExchangeLostError):
+            await connection.receive_whole()
+        return connection.is_reusable
+
+    assert asyncio.run(run_exchange(pieces, read)) is False
+
+
+def test_large_body_is_not_cut_off():
+    """The bounds must not end a long download in many small chunks."""
+    chunk = b'8\r\n12345678\r\n'
+    head = b'HTTP/1.1 200 OK\r\nX-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n'
+    pieces = [head, *([chunk * 8192] * 16), b'0\r\n\r\n']
+
+    async def read(connection):
+        await connection.receive_head()
+        return sum([len(part) async for part in connection.iterate_body()])
+
+    assert asyncio.run(run_exchange(pieces, read)) == 8 * 8192 * 16
--- a/daemon/tests/resident/test_http_listener.py
+++ b/daemon/tests/resident/test_http_listener.py
@@ -295,3 +295,82 @@
     assert received == b''
     assert any('INTERNAL_ERROR' in line for line in lines)
     assert KEY not in str(lines)
+
+
+@pytest.mark.parametrize(
+    'start, repeated',
+    [
+        (b'GET /one HTTP/1.1\r\n', b'X-Pad: padding\r\n'),
+        (b'GET /one HTTP/1.1\r\nX-Pad: ', b'p'),
+        (
+            b'POST /one HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=',
+            b'extension',
+        ),
+        (
+            b'POST /one HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+            b'X-Pad: trailer\r\n',
+        ),
+    ],
+    ids=['headers', 'header line', 'chunk extension', 'trailers'],
+)
+def test_request_without_an_end_is_refused(start, repeated):
+    """A client must not fill the memory of a host with one request."""
+    handler = Handler()
+
+    async def run():
+        listener, log, reader, writer = await open_listener(handler)
+        piece = repeated * (65536 // len(repeated))
+        writer.write(start)
+        try:
+            async with asyncio.timeout(5):
+                while not reader.at_eof():
+                    writer.write(piece)
+                    await asyncio.sleep(0.005)
+                    await writer.drain()
+        except ConnectionError:
+            # The listener closed the connection before it had read all.
+            pass
+        writer.close()
+        await listener.close()
+        return log.lines
+
+    assert any('REQUEST_MALFORMED' in line for line in asyncio.run(run()))
+    assert not handler.requests
+
+
+def test_bodies_of_all_clients_have_one_limit(monkeypatch):
+    """Many half-read bodies together must stay within the host's memory.
+
+    The refusal says that the request has not run, which is true: none of it
+    was passed on.
+    """
+    monkeypatch.setattr(_http_listener, 'MAX_HELD_BYTES', 100_000)
+    head = b'POST /%d HTTP/1.1\r\nContent-Length: 60000\r\n\r\n'
+    handler = Handler()
+
+    async def run():
+        listener, _, _, first = await open_listener(handler)
+        first.write(head % 1 + b'x' * 59_000)
+        await asyncio.sleep(0.05)
+        reader, second = await asyncio.open_connection(
+            '127.0.0.1', listener.port
+        )
+        second.write(head % 2 + b'x' * 59_000)
+        refusal = await asyncio.wait_for(reader.readline(), 5)
+        # Once the first body is handled, there is room again.
+        first.write(b'x' * 1000)
+        await asyncio.sleep(0.05)
+        reader, third = await asyncio.open_connection(
+            '127.0.0.1', listener.port
+        )
+        third.write(head % 3 + b'x' * 60_000)
+        status = await asyncio.wait_for(reader.readline(), 5)
+        for writer in (first, second, third):
+            writer.close()
+        await listener.close()
+        return refusal, status
+
+    refusal, status = asyncio.run(run())
+    assert refusal.startswith(b'HTTP/1.1 503')
+    assert status.startswith(b'HTTP/1.1 200')
+    assert [request.target for request in handler.requests] == ['/1', '/3']
