Ping peers of long polls less and compute fewer loads for a choice

Cause: every idle host pinged the control host that it polls five times a second, and a choice between two members computed the loads of all. Change: peers that owe only replies to requests are pinged every 0.5 s; a choice takes the first two acceptable members of a random order.

--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -26,6 +26,9 @@
 from cactusloft_link import _streams
 
 PING_INTERVAL_S = 0.2
+# A peer that owes only replies to requests, such as a long poll, is pinged at
+# this interval. Hundreds of daemons poll all the time.
+REQUEST_PING_INTERVAL_S = 0.5
 # With open exchanges, a ping is sent at this interval even while frames
 # arrive: on a stream that only the peer sends on, it receives nothing else.
 BUSY_PING_INTERVAL_S = 1.0
@@ -334,7 +337,12 @@
         if is_idle:
             self._waiting_since = now
         # Any received frame proves as much as a pong does.
-        is_pong_needed = now - self._last_received_at > PING_INTERVAL_S / 2
+        silence_s = REQUEST_PING_INTERVAL_S
+        if self._streams or not self.is_up:
+            silence_s = PING_INTERVAL_S / 2
+        is_pong_needed = (
+            now - max(self._last_received_at, self._last_ping_at) > silence_s
+        )
         interval_s = BUSY_PING_INTERVAL_S
         if is_idle:
             interval_s = IDLE_PING_INTERVAL_S
--- a/libs/membership/src/cactusloft_membership/_choice.py
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import itertools
 import math
 
 import attrs
@@ -89,7 +90,7 @@
 
     :param data_centre: data centre of this daemon, whose members are
         preferred.
-    :param random_source: like :class:`random.Random`; its ``sample`` is used.
+    :param random_source: like :class:`random.Random`; its ``shuffle`` is used.
     """
 
     def __init__(self, data_centre, random_source):
@@ -142,13 +143,13 @@
             and member.name not in excluded
             and self._states[member.name].excluded_until <= now
         ]
-        local = [m for m in usable if self._is_local_choice(m, now)]
-        candidates = local or usable
-        # Sampling shuffles even if there are only two candidates. min()
+        # In random order, so that the first acceptable members are a random
+        # sample and the loads of the others need not be computed. min()
         # returns the first of equals, which must not always be the same
         # member.
-        count = min(2, len(candidates))
-        candidates = self._random.sample(candidates, count)
+        self._random.shuffle(usable)
+        local = (m for m in usable if self._is_local_choice(m, now))
+        candidates = list(itertools.islice(local, 2)) or usable[:2]
         return min(
             candidates,
             key=lambda member: self._compute_load(member, now),
