Spread the returns of callers that were turned away

Cause: every refusal for lack of room carried Retry-After 0.4 s, whatever the load, so calls refused together came back together. Change: the time grows with the share of owners that had no slot, its place is spread by the attempt id, and it stays below a third of what the caller has left (resident/_returning.py).

--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -10,9 +10,6 @@
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _owner
 
-# Retry-After of a call refused for lack of capacity. Long enough for a queue
-# to drain, short enough for the client to retry before its deadline.
-RETRY_AFTER_S = 0.4
 _E = errors.ErrorKind
 
 
@@ -93,8 +90,11 @@
         self.sends += 1
         self.reached.add(name)
 
-    def settle(self, outcome):
-        """Return the outcome for the client."""
+    def settle(self, outcome, retry_after_s):
+        """Return the outcome for the client.
+
+        :param retry_after_s: for a refusal that does not name a time itself.
+        """
         if isinstance(outcome, result.Success):
             return outcome
         if self.failed_outcome is not None:
@@ -103,7 +103,10 @@
         if not self.may_have_run and error.kind is _E.DEADLINE_EXCEEDED:
             # The call never reached a backend server.
             return _calls.fail(
-                _E.OVERLOADED, 'no owner in time', errors.NotRun.TRUE
+                _E.OVERLOADED,
+                'no owner in time',
+                errors.NotRun.TRUE,
+                retry_after_s,
             )
         if self.may_have_run and is_not_run(error):
             # An earlier send of the same request may have run.
@@ -113,7 +116,7 @@
             # response declares that it has not run.
             error = errors.CallError(_E.NO_BACKEND_SERVER, error.detail)
         if is_not_run(error) and error.retry_after_s is None:
-            error = attrs.evolve(error, retry_after_s=RETRY_AFTER_S)
+            error = attrs.evolve(error, retry_after_s=retry_after_s)
         return result.Failure(error)
 
 
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -19,6 +19,7 @@
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _owner
 from cactusloftd.resident import _placing
+from cactusloftd.resident import _returning
 from cactusloftd.resident import _splits
 
 # Owners tried for one call. More would add load when every owner is full.
@@ -217,7 +218,13 @@
             attempt.may_have_run |= attempt.is_in_flight
             if attempt.is_in_flight:
                 self._record_run(call, attempt.owner, outcome)
-        final_outcome = attempt.settle(outcome)
+        context = call.context
+        retry_after_s = _returning.compute_retry_after(
+            context.call_id,
+            context.deadline - self._now(),
+            self._placing.find_full_share(context.service),
+        )
+        final_outcome = attempt.settle(outcome, retry_after_s)
         unused = attempt.failed_outcome
         if unused is not None and unused is not final_outcome:
             await unused.unwrap().close()
--- a/daemon/src/cactusloftd/resident/_placing.py
+++ b/daemon/src/cactusloftd/resident/_placing.py
@@ -24,14 +24,18 @@
     def __init__(self):
         self._full_shares = {}
 
+    def find_full_share(self, service):
+        """Return the share of owners that had no slot, 0 to 1."""
+        return self._full_shares.get(service, 0.0)
+
     def count_offers(self, service):
         """Return how many owners to ask for a free slot first."""
-        share = self._full_shares.get(service, 0.0)
+        share = self.find_full_share(service)
         if share > NO_OFFERS_SHARE:
             return 0
         return 1 if share > FEW_OFFERS_SHARE else MAX_OFFERS
 
     def record(self, service, is_full):
         """Record whether an owner had no slot for a call."""
-        share = self._full_shares.get(service, 0.0)
+        share = self.find_full_share(service)
         self._full_shares[service] = share + SMOOTHING * (is_full - share)
--- /dev/null
+++ b/daemon/src/cactusloftd/resident/_returning.py
@@ -0,0 +1,33 @@
+"""When a caller whose call was turned away may come back.
+
+The load pattern: a burst fills all queues, many calls are turned away within
+the same tenth of a second, and their callers obey the same Retry-After. They
+come back together and are turned away together. Here the returns are spread
+over a time that grows with the load, at a place that depends on the attempt
+alone. A caller with less time left comes back sooner.
+"""
+
+import zlib
+
+MIN_RETRY_AFTER_S = 0.2
+# Spread of the returns to a service with free slots, and to a saturated one.
+MIN_SPREAD_S = 0.3
+MAX_SPREAD_S = 1.4
+# Share of the remaining time that may pass before the return. It leaves the
+# rest for the call itself; clients wait no longer than a third.
+MAX_REMAINING_SHARE = 0.3
+
+
+def compute_retry_after(attempt_id, remaining_s, full_share):
+    """Return the seconds after which a caller may come back.
+
+    :param attempt_id: id of the attempt that was turned away.
+    :param remaining_s: seconds until its deadline.
+    :param full_share: share of the service's owners that had no slot, 0 to 1.
+    """
+    spread_s = MIN_SPREAD_S + full_share * (MAX_SPREAD_S - MIN_SPREAD_S)
+    longest_s = MAX_REMAINING_SHARE * max(0.0, remaining_s)
+    soonest_s = min(MIN_RETRY_AFTER_S, longest_s)
+    spread_s = min(spread_s, longest_s - soonest_s)
+    place = zlib.crc32(attempt_id.encode()) / 2**32
+    return round(soonest_s + place * spread_s, 3)
