Tell callers to return when a new control leader is likely

Change: the time is what is left of a usual outage, spread, at most 0.3 of the time that the caller has left.

--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -15,6 +15,7 @@
 from cactusloftd import _calls
 from cactusloftd import _leader_link
 from cactusloftd import _rate_messages
+from cactusloftd.resident import _returning
 
 REQUEST_TIMEOUTS = _leader_link.LeaderTimeouts(connect_s=0.1, reply_s=0.2)
 RETRY_DELAY_S = 0.05
@@ -22,7 +23,6 @@
 # time.
 RETURN_INTERVAL_S = 0.25
 LEADER_POLL_INTERVAL_S = 0.1
-UNAVAILABLE_RETRY_AFTER_S = 0.5
 _E = errors.ErrorKind
 
 
@@ -67,7 +67,7 @@
         if holder.take(self._now()):
             return result.Success(None)
         if not self._has_contact:
-            return self._admit_without_leader(account, holder)
+            return self._admit_without_leader(account, holder, context)
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[name].append(waiter)
         self._wake.set()
@@ -77,7 +77,7 @@
             self._return_granted_token(name, waiter)
             raise
         if retry_after_s is None:
-            return self._admit_without_leader(account, holder)
+            return self._admit_without_leader(account, holder, context)
         if retry_after_s:
             return _calls.fail(
                 _E.RATE_EXCEEDED, '', errors.NotRun.TRUE, retry_after_s
@@ -140,17 +140,20 @@
             is_granted = index < tokens
             waiter.set_result(0.0 if is_granted else grant.retry_after_s)
 
-    def _admit_without_leader(self, account, holder):
+    def _admit_without_leader(self, account, holder, context):
         """Admit a call without the leader if a spare token is left."""
-        if holder.take_spare_token(
-            account.rate, self._now(), self._last_contact_at
-        ):
+        now = self._now()
+        if holder.take_spare_token(account.rate, now, self._last_contact_at):
             return result.Success(None)
         return _calls.fail(
             _E.RATE_UNAVAILABLE,
             'no contact to the control leader',
             errors.NotRun.TRUE,
-            UNAVAILABLE_RETRY_AFTER_S,
+            _returning.compute_outage_retry_after(
+                context.call_id,
+                context.deadline - now,
+                now - self._last_contact_at,
+            ),
         )
 
     def _return_granted_token(self, name, waiter):
--- a/daemon/src/cactusloftd/resident/_returning.py
+++ b/daemon/src/cactusloftd/resident/_returning.py
@@ -17,6 +17,28 @@
 # rest for the call itself; clients wait no longer than a third.
 MAX_REMAINING_SHARE = 0.3
 
+# Time in which a control group that lost its leader usually has a new one.
+LEADER_OUTAGE_S = 2.5
+# Least time until the return of a call that no leader admitted, and the
+# spread of these returns.
+MIN_OUTAGE_RETRY_AFTER_S = 0.5
+OUTAGE_SPREAD_S = 0.3
+
+
+def compute_outage_retry_after(attempt_id, remaining_s, outage_s):
+    """Return the seconds after which a new control leader is likely.
+
+    Callers repeat a call once. Those that come back before there is a leader
+    have used their repetition for nothing.
+
+    :param attempt_id: id of the attempt that was turned away.
+    :param remaining_s: seconds until its deadline.
+    :param outage_s: seconds since the leader was last heard.
+    """
+    after_s = max(MIN_OUTAGE_RETRY_AFTER_S, LEADER_OUTAGE_S - outage_s)
+    after_s += _compute_place(attempt_id) * OUTAGE_SPREAD_S
+    return round(min(after_s, MAX_REMAINING_SHARE * max(0.0, remaining_s)), 3)
+
 
 def compute_retry_after(attempt_id, remaining_s, full_share):
     """Return the seconds after which a caller may come back.
@@ -29,5 +51,10 @@
     longest_s = MAX_REMAINING_SHARE * max(0.0, remaining_s)
     soonest_s = min(MIN_RETRY_AFTER_S, longest_s)
     spread_s = min(spread_s, longest_s - soonest_s)
-    place = zlib.crc32(attempt_id.encode()) / 2**32
+    place = _compute_place(attempt_id)
     return round(soonest_s + place * spread_s, 3)
+
+
+def _compute_place(attempt_id):
+    """Return a number from 0 to 1 that depends on the attempt alone."""
+    return zlib.crc32(attempt_id.encode()) / 2**32
--- a/daemon/tests/resident/test_returning.py
+++ b/daemon/tests/resident/test_returning.py
@@ -35,3 +35,23 @@
         _returning.compute_retry_after(f'a{i}', 5.0, 0.0) for i in range(200)
     )
     assert latest_s <= (_returning.MIN_RETRY_AFTER_S + _returning.MIN_SPREAD_S)
+
+
+def test_caller_returns_when_a_new_leader_is_likely():
+    """A repetition during the same outage of the leader is lost.
+
+    Replays calls that arrive during an outage of 2.5 s with 5 s left: those
+    of its last 1.5 s must come back after its end.
+    """
+    outage_s = _returning.LEADER_OUTAGE_S
+    for step in range(10, 25):
+        since_s = step / 10
+        after_s = _returning.compute_outage_retry_after('a1', 5.0, since_s)
+        assert since_s + after_s >= outage_s
+        assert after_s <= 5.0 / 3
+
+
+def test_return_during_a_long_outage_is_not_endless():
+    """Without any contact, a caller still gets a time that it can obey."""
+    after_s = _returning.compute_outage_retry_after('a1', 1.0, float('inf'))
+    assert 0 < after_s <= 1.0 / 3
