Answer requests that arrive just before the connections close

Cause: between the last check for requests in progress and the close of the listeners the event loop may read one more request and pass it on; the close then cut it off without an answer. Change: closing waits up to 0.4 s for the responses to requests that are being handled, and marks the last one with Connection: close. Result: test_request_accepted_just_before_a_stop_is_answered fails before the change with an empty answer.

--- a/daemon/src/cactusloftd/resident/_http_listener.py
+++ b/daemon/src/cactusloftd/resident/_http_listener.py
@@ -45,6 +45,10 @@
 BACKLOG = 1024
 # Lets the event loop send responses that were written before a close.
 CLOSE_DELAY_S = 0.1
+# Time for the responses to requests that arrived just before a close. The end
+# of the shutdown grace is near by then.
+MAX_CLOSE_S = 0.4
+CLOSE_POLL_S = 0.02
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _BODILESS = (204, 304)
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
@@ -84,9 +88,17 @@
         self._server.close()
 
     async def close(self):
-        """Close all connections."""
+        """Close all connections, those with requests after the responses."""
         self._server.close()
         self._expiry_task.cancel()
+        for connection in list(self._connections):
+            connection.close_when_idle()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + MAX_CLOSE_S
+        while loop.time() < deadline and any(
+            connection.is_busy for connection in self._connections
+        ):
+            await asyncio.sleep(CLOSE_POLL_S)
         for connection in list(self._connections):
             connection.close()
         await asyncio.sleep(CLOSE_DELAY_S)
@@ -218,6 +230,19 @@
         if now - self._active_at > limit_s:
             self.close()
 
+    @property
+    def is_busy(self):
+        """Tell whether requests are being handled."""
+        return bool(self._running)
+
+    def close_when_idle(self):
+        """Close after the responses to the requests that are handled now."""
+        if self._running:
+            self._is_closing = True
+            self._queue.clear()
+        else:
+            self.close()
+
     def close(self):
         """Close the connection once all written data is sent."""
         self._is_closing = True
--- a/daemon/tests/resident/test_http_listener.py
+++ b/daemon/tests/resident/test_http_listener.py
@@ -374,3 +374,25 @@
     assert refusal.startswith(b'HTTP/1.1 503')
     assert status.startswith(b'HTTP/1.1 200')
     assert [request.target for request in handler.requests] == ['/1', '/3']
+
+
+def test_request_accepted_just_before_a_stop_is_answered():
+    """A planned stop must not cut off what was accepted under load.
+
+    A request that arrives between the last check for requests in progress and
+    the close of the connections has already been passed on.
+    """
+    handler = Handler(delay_s=0.1)
+
+    async def run():
+        listener, _, reader, writer = await open_listener(handler)
+        writer.write(GET % b'one')
+        while not handler.requests:
+            await asyncio.sleep(0.001)
+        await listener.close()
+        return await asyncio.wait_for(reader.read(), 5)
+
+    received = asyncio.run(run())
+    assert received.startswith(b'HTTP/1.1 200')
+    assert received.endswith(b'Connection: close\r\n\r\n/one')
+    assert not handler.cancelled
