Stop a link's monitor before its receiver is closed

Cause: Monitor.close() closed the receiving end of the monitor first and stopped the monitor then. If the peer disconnects in between, the I/O thread of ZeroMQ has an event to send, waits for a receiver for ever, and holds the lock that stopping the monitor needs; the event loop blocks in it. When a whole fleet stops, all peers disconnect at that moment. The same can freeze a running daemon whenever a link is replaced.

Change: stop the monitor, then close the receiver. The sockets of the residents have no monitor and were not affected.

--- a/libs/link/src/cactusloft_link/_monitor.py
+++ b/libs/link/src/cactusloft_link/_monitor.py
@@ -33,6 +33,10 @@
         if self._event_socket is None:
             return
         self._loop.remove_reader(self._fd)
+        # The I/O thread of ZeroMQ blocks for ever, and with it every later
+        # call on the socket, if it has an event to send and nobody receives.
+        self._monitored_socket.monitor(None, 0)
+        self._event_socket.close(linger=0)
         self._event_socket = None
         self._monitored_socket.disable_monitor()
 
