Log and measure the rate limit that a backend server names

The logs and metrics of the incident said nothing about it, so its hypotheses could not be told apart: whether the limit is read at all, spent by each host alone, or lost with the owner's process.

No decision depends on it yet.

--- a/daemon/src/cactusloftd/_metrics.py
+++ b/daemon/src/cactusloftd/_metrics.py
@@ -150,6 +150,13 @@
         (),
         '1 while the backend server has a live announcement, else 0',
     ),
+    Definition(
+        'cactusloft_backend_server_rate_limit',
+        _G,
+        (),
+        'requests a second that the backend server accepts, absent if it '
+        'names no limit',
+    ),
     Definition(
         'cactusloft_rate_leases',
         _G,
--- a/daemon/src/cactusloftd/resident/_delivery.py
+++ b/daemon/src/cactusloftd/resident/_delivery.py
@@ -39,6 +39,8 @@
     :param instance: identity of the process.
     :param protocol: :class:`protocol.BackendProtocol`.
     :param now: function that returns monotonic time in seconds.
+    :ivar on_metadata: function called with the
+        :class:`protocol.ResponseMetadata` of each response of the process.
     """
 
     def __init__(self, address, instance, protocol, now):
@@ -49,6 +51,7 @@
         self._now = now
         self._idle = collections.deque()
         self._connections = set()
+        self.on_metadata = lambda metadata: None
 
     def close(self):
         """Close all connections."""
@@ -101,6 +104,7 @@
             return _calls.fail(_E.BACKEND_SERVER_FAILED, str(error))
         if response.metadata.is_other_instance:
             return _calls.fail(_E.NO_BACKEND_SERVER, OTHER_INSTANCE, _TRUE)
+        self.on_metadata(response.metadata)
         if response.metadata.is_not_run:
             return _calls.fail(_E.OVERLOADED, DECLINED)
         return result.Success(
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -73,6 +73,7 @@
         self._loss_id = ''
         self._times = _service_times.ServiceTimes()
         self._running = {}
+        self._rate_limit = None
         self._is_stopping = False
         self.on_change = lambda: None
 
@@ -109,6 +110,14 @@
         """Return the :class:`controller.Admission`, None at first."""
         return self._gate.admission if self._gate else None
 
+    @property
+    def rate_limit(self):
+        """Return the limit that the backend server named, or None.
+
+        It is in requests per second.
+        """
+        return self._rate_limit
+
     def find_service_time(self, route):
         """Return the mean service time of a route in seconds, or None."""
         return self._times.find(route)
@@ -377,12 +386,25 @@
         self._running.pop(run.call.context.call_id, None)
         run.gate.leave(run.ticket, run.outcome)
 
+    def _handle_metadata(self, metadata):
+        if metadata.rate_limit != self._rate_limit:
+            self._rate_limit = metadata.rate_limit
+            self._log.record(
+                _V.BACKEND_SERVER_LIMITED,
+                service=self.service,
+                instance=self._state.heartbeat.instance,
+                rate_limit=metadata.rate_limit,
+                in_flight=self.held,
+            )
+
     def _install_process(self, heartbeat):
         if self._delivery is not None:
             self._delivery.close()
         self._delivery = _delivery.Delivery(
             self._address, heartbeat.instance, self._protocol, self._now
         )
+        self._delivery.on_metadata = self._handle_metadata
+        self._rate_limit = None
         self._times.clear_routes()
         admission = controller.Admission(
             heartbeat.slots,
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -400,4 +400,9 @@
             lambda: installed.age_s if installed.confirmed_at else None,
         )
         if self._host_context.backend_server:
-            observe('cactusloft_in_flight_calls', lambda: self._owner.held)
+            owner = self._owner
+            observe('cactusloft_in_flight_calls', lambda: owner.held)
+            observe(
+                'cactusloft_backend_server_rate_limit',
+                lambda: owner.rate_limit,
+            )
--- a/daemon/src/cactusloftd/resident/protocol.py
+++ b/daemon/src/cactusloftd/resident/protocol.py
@@ -74,6 +74,9 @@
         instance than the one that received it.
     :ivar load: number of calls that it runs and queues, None if absent.
     :ivar idle_s: its idle timeout of connections in seconds, None if absent.
+    :ivar rate_limit: requests per second that it accepts at present from all
+        hosts together, None if it names no limit.
+    :ivar is_leaving: whether it is about to leave.
     """
 
     attempt_id: str
@@ -81,6 +84,8 @@
     is_other_instance: bool
     load: int | None
     idle_s: float | None
+    rate_limit: float | None = None
+    is_leaving: bool = False
 
 
 class BackendProtocol(typing.Protocol):
