Keep to the rate limit that a backend server names

Cause: the owner's only model of capacity was slots and latency. What the backend server itself said of its need was not read.

Change: admission has a token bucket with the rate of the newest response. The owner alone starts calls, so the limit is kept exactly for all hosts together and nothing has to be shared. It reports the slots that the limit can fill as its load, so that entries prefer other owners. An owner that has just started does not know what its predecessor was told and starts two calls until the first response; without that, a restart would let all slots start at once. Three responses without a limit end it.

--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -5,6 +5,9 @@
 from cactusloft_admission import controller
 import cactusloft_link as link
 
+# Shortest timer: the clocks of the event loop and of the decisions differ.
+MIN_DELAY_S = 0.001
+
 
 class AdmissionGate:
     """Queue in which calls wait for a slot of one backend server process.
@@ -17,13 +20,12 @@
         self.admission = admission
         self._now = now
         self._waiters = {}
+        self._timer = None
 
     @property
     def has_capacity(self):
         """Return whether a call would start without queueing."""
-        admission = self.admission
-        has_free_slot = admission.in_flight < admission.compute_limit()
-        return has_free_slot and not admission.queued
+        return self.admission.has_capacity
 
     @property
     def held(self):
@@ -65,6 +67,10 @@
         """
         self._apply(self.admission.finish(ticket, outcome, latency_s))
 
+    def receive_response(self, rate_limit):
+        """Apply the rate limit that a response named, None for no limit."""
+        self._apply(self.admission.receive_response(rate_limit))
+
     def _withdraw(self, ticket, is_late=False):
         if ticket.started_at is None:
             self._apply(self.admission.cancel(ticket, is_late))
@@ -78,3 +84,19 @@
             # ticket when it is next scheduled.
             if waiter is not None and not waiter.done():
                 waiter.set_result(decision.verdict)
+        self._schedule_start()
+
+    def _schedule_start(self):
+        """Start the next queued call when the rate limit allows it."""
+        if self._timer is not None:
+            return
+        delay_s = self.admission.compute_start_delay()
+        if delay_s is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(
+                max(MIN_DELAY_S, delay_s), self._start_queued
+            )
+
+    def _start_queued(self):
+        self._timer = None
+        self._apply(self.admission.advance())
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import functools
 
 from returns import result
 
@@ -73,7 +74,6 @@
         self._loss_id = ''
         self._times = _service_times.ServiceTimes()
         self._running = {}
-        self._rate_limit = None
         self._is_stopping = False
         self.on_change = lambda: None
 
@@ -100,10 +100,20 @@
 
     @property
     def load(self):
-        """Return the number of held calls per slot."""
+        """Return the number of held calls per slot.
+
+        A backend server that names a rate limit can use as many slots as the
+        limit times its service time.
+        """
         if self._gate is None:
             return 0.0
-        return self.held / max(1, self._state.heartbeat.slots)
+        slots = self._state.heartbeat.slots
+        rate_limit = self._gate.admission.rate_limit
+        if rate_limit is None:
+            return self.held / max(1, slots)
+        slots = min(slots, rate_limit * self._times.mean_s)
+        load = self.held / max(1.0, slots)
+        return load if self._gate.has_capacity else max(1.0, load)
 
     @property
     def admission(self):
@@ -112,11 +122,11 @@
 
     @property
     def rate_limit(self):
-        """Return the limit that the backend server named, or None.
+        """Return the limit of the backend server in calls per second.
 
-        It is in requests per second.
+        None if it names no limit.
         """
-        return self._rate_limit
+        return self._gate.admission.rate_limit if self._gate else None
 
     def find_service_time(self, route):
         """Return the mean service time of a route in seconds, or None."""
@@ -252,6 +262,8 @@
         if not ahead:
             return False
         per_call_s = self._times.mean_s / max(1, admission.compute_limit())
+        if admission.rate_limit is not None:
+            per_call_s = max(per_call_s, 1.0 / admission.rate_limit)
         return self._now() + ahead * per_call_s > ticket.last_start
 
     def _refuse(self, call, ticket, verdict):
@@ -386,14 +398,15 @@
         self._running.pop(run.call.context.call_id, None)
         run.gate.leave(run.ticket, run.outcome)
 
-    def _handle_metadata(self, metadata):
-        if metadata.rate_limit != self._rate_limit:
-            self._rate_limit = metadata.rate_limit
+    def _handle_metadata(self, gate, metadata):
+        known = gate.admission.rate_limit
+        gate.receive_response(metadata.rate_limit)
+        if gate is self._gate and gate.admission.rate_limit != known:
             self._log.record(
                 _V.BACKEND_SERVER_LIMITED,
                 service=self.service,
                 instance=self._state.heartbeat.instance,
-                rate_limit=metadata.rate_limit,
+                rate_limit=gate.admission.rate_limit,
                 in_flight=self.held,
             )
 
@@ -403,18 +416,21 @@
         self._delivery = _delivery.Delivery(
             self._address, heartbeat.instance, self._protocol, self._now
         )
-        self._delivery.on_metadata = self._handle_metadata
-        self._rate_limit = None
         self._times.clear_routes()
         admission = controller.Admission(
             heartbeat.slots,
             self._now,
             controller.AdmissionPolicy(
-                adaptive_limit=False, newest_first=False
+                adaptive_limit=False,
+                newest_first=False,
+                awaits_first_response=True,
             ),
             ramp_s=heartbeat.cold_left_s,
         )
         self._gate = _gate.AdmissionGate(admission, self._now)
+        self._delivery.on_metadata = functools.partial(
+            self._handle_metadata, self._gate
+        )
         self._loss_id = self._marks.make_loss_id()
         self._log.record(
             _V.BACKEND_SERVER_ANNOUNCED,
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -10,6 +10,7 @@
 from cactusloft_admission import _load
 from cactusloft_admission import _meter
 from cactusloft_admission import _queue
+from cactusloft_admission import _rate
 from cactusloft_admission import _steps
 from cactusloft_admission import _tickets
 
@@ -50,6 +51,7 @@
         self._alone = _alone.AloneQueue()
         self._service_times = _expected.ServiceTimes()
         self._meter = _meter.PressureMeter(now)
+        self._rate = _rate.RateLimit(now)
         self._in_flight = 0
         self._queue_empty_until = now
 
@@ -63,20 +65,42 @@
         """Return the number of queued calls."""
         return len(self._queue) + len(self._alone)
 
+    @property
+    def has_capacity(self):
+        """Tell whether a call would start without queueing."""
+        return not self.queued and self._has_capacity()
+
     @property
     def misleading_reports(self):
         """Return how many load reports contradicted the owner's count."""
         return self._reports.misleading
 
+    @property
+    def rate_limit(self):
+        """Return the calls per second that may start, None for no limit."""
+        return self._rate.rate
+
     def compute_limit(self):
         """Return how many calls may be in flight at present."""
         now = self._read_clock()
         cap = self._reports.compute_cap(now)
         cap = max(1, int(cap * self._ramp.compute_share(now)))
+        if self._policy.awaits_first_response:
+            cap = min(cap, self._rate.max_in_flight or cap)
         if not self._policy.adaptive_limit:
             return cap
         return min(cap, self._limit.value)
 
+    def compute_start_delay(self):
+        """Return when :meth:`advance` can start the next queued call.
+
+        :returns: seconds until the rate limit allows it, or None if no call is
+            queued or it waits for a slot, which :meth:`finish` frees.
+        """
+        if not self.queued or self._in_flight >= self.compute_limit():
+            return None
+        return self._rate.compute_delay(self._read_clock()) or None
+
     def read_pressure(self):
         """Return the :class:`Pressure` to report with a response."""
         now = self._read_clock()
@@ -101,6 +125,16 @@
         report = _load.LoadReport(load, slots, self._read_clock())
         self._reports.receive(report, self._in_flight)
 
+    def receive_response(self, rate_limit):
+        """Apply what a response said of the backend server.
+
+        :param rate_limit: calls per second that it accepts, None if it named
+            no limit.
+        :returns: list of :class:`Decision` on queued calls.
+        """
+        self._rate.receive(rate_limit, self._read_clock())
+        return self.advance() if self.queued else []
+
     def submit(self, ticket):
         """Start, queue or refuse a call.
 
@@ -226,7 +260,9 @@
     def _has_capacity(self):
         if self._is_reserved_for_alone():
             return False
-        return self._in_flight < self.compute_limit()
+        if self._in_flight >= self.compute_limit():
+            return False
+        return self._rate.has_token(self._read_clock())
 
     def _is_newest_first(self):
         if not self._policy.newest_first:
@@ -237,8 +273,10 @@
 
     def _start_alone_calls(self):
         while len(self._alone) and not self._in_flight:
-            ticket = self._alone.start_next()
             now = self._read_clock()
+            if not self._rate.has_token(now):
+                return
+            ticket = self._alone.start_next()
             if now > ticket.deadline:
                 self._alone.finish(ticket, now)
                 yield self._shed(ticket, _tickets.Verdict.EXPIRED)
@@ -257,6 +295,7 @@
     def _start(self, ticket, now):
         ticket.started_at = now
         self._in_flight += 1
+        self._rate.take(now)
         self._meter.record_start()
 
     def _shed(self, ticket, verdict):
--- a/libs/admission/src/cactusloft_admission/_tickets.py
+++ b/libs/admission/src/cactusloft_admission/_tickets.py
@@ -77,6 +77,9 @@
     """Switches of the parts of admission control.
 
     Daemons use the defaults; benchmarks switch parts off to compare policies.
+
+    :ivar awaits_first_response: whether only a few calls start before the
+        first response, which tells the rate limit of the backend server.
     """
 
     adaptive_limit: bool = True
@@ -85,3 +88,4 @@
     deadline_drop: bool = True
     newest_first: bool = True
     early_refusal: bool = True
+    awaits_first_response: bool = False
