Close the connections of test servers with their event loop

Seen: python -m pytest daemon/tests/resident ended with an INTERNALERROR in 2 of 8 runs on CPython 3.11.6 (SystemError: AST constructor recursion depth mismatch).

Cause: servers of the tests left connections open. The garbage collector closed them later, on a closed loop; where that happened inside pytest's own parsing, formatting the warning parsed source once more, which this interpreter does not bear.

Two runs with -W error::pytest.PytestUnraisableExceptionWarning: 181 passed each; before, 5 or 6 such warnings a run.

--- a/daemon/tests/resident/test_delivery.py
+++ b/daemon/tests/resident/test_delivery.py
@@ -11,6 +11,8 @@
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import protocol
 
+from . import servers
+
 DEADLINE_S = 5.0
 
 
@@ -98,10 +100,7 @@
 
     async def run():
         backend_server = Server()
-        server = await asyncio.start_server(
-            backend_server.serve, '127.0.0.1', 0
-        )
-        port = server.sockets[0].getsockname()[1]
+        server, port = await servers.start(backend_server.serve)
         now = asyncio.get_running_loop().time
         delivery = _delivery.Delivery(
             f'127.0.0.1:{port}', 'i-1', Protocol(), now
@@ -133,8 +132,7 @@
             await asyncio.sleep(0.01)
 
     async def run():
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
+        server, port = await servers.start(serve)
         now = asyncio.get_running_loop().time
         delivery = _delivery.Delivery(
             f'127.0.0.1:{port}', 'i-1', Protocol(), now
--- a/daemon/tests/resident/test_exchange.py
+++ b/daemon/tests/resident/test_exchange.py
@@ -9,6 +9,8 @@
 from cactusloftd.resident import _exchange
 from cactusloftd.resident import protocol
 
+from . import servers
+
 REQUEST = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
@@ -54,8 +56,7 @@
             writer.transport.abort()
         writer.close()
 
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    port = server.sockets[0].getsockname()[1]
+    server, port = await servers.start(serve)
     loop = asyncio.get_running_loop()
     _, connection = await loop.create_connection(
         lambda: _exchange.Connection(read_metadata, lambda c: None),
--- a/daemon/tests/resident/test_http_listener.py
+++ b/daemon/tests/resident/test_http_listener.py
@@ -391,7 +391,9 @@
         while not handler.requests:
             await asyncio.sleep(0.001)
         await listener.close()
-        return await asyncio.wait_for(reader.read(), 5)
+        received = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return received
 
     received = asyncio.run(run())
     assert received.startswith(b'HTTP/1.1 200')
