Remember departures that backend servers announce in responses

Cause: the header was not read, and what an owner knows of its backend server's departure is only in its memory. The new process of the owner takes the next heartbeat as ready, registers the backend server as serving, and every entry believes it. The same class of fault: knowledge that is given once and held by one process.

Change: the owner treats such a response like a departure. Responses carry the identity of a leaving process to the entry, and registrations say whether it leaves; each entry remembers leaving processes by instance and start time, and takes them out of its members whatever a later registration says.

--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -68,6 +68,8 @@
         resources; must be called once.
     :ivar is_replayed: whether it is the stored response of an earlier call.
     :ivar is_caused_below: whether a nested call of the run failed.
+    :ivar leaving_process: :class:`registry.BackendProcess` that responded, if
+        it is about to leave, else None.
     """
 
     status: int
@@ -77,6 +79,7 @@
     close: abc.Callable[[], abc.Awaitable[None]]
     is_replayed: bool = False
     is_caused_below: bool = False
+    leaving_process: object = None
 
 
 Outcome = result.Result[Response, errors.CallError]
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -208,6 +208,10 @@
         """
         return self._view.find_chooser(service).find_mean_latency(kind)
 
+    def record_departure(self, process):
+        """Send no more calls to a :class:`registry.BackendProcess`."""
+        self._view.record_departure(process, self._now())
+
     def make_runner(self, member):
         """Return the :class:`_calls.Runner` that sends calls to a member."""
         return _MemberRunner(
@@ -215,6 +219,7 @@
             self.connect(member),
             self._view.find_chooser(member.service),
             self._now,
+            self.record_departure,
         )
 
     def connect(self, member):
@@ -235,12 +240,13 @@
 class _MemberRunner:
     """Run calls on a member, and record their number, pressure and latency."""
 
-    def __init__(self, member, peer, chooser, now):
+    def __init__(self, member, peer, chooser, now, record_departure):
         self._name = member.name
         self._peer = peer
         self._owner = _peers.RemoteOwner(peer, now)
         self._chooser = chooser
         self._now = now
+        self._record_departure = record_departure
 
     @property
     def load(self):
@@ -274,6 +280,8 @@
                     self._chooser.record_latency(
                         self._name, call.route, now - started_at, now
                     )
+                if response.leaving_process is not None:
+                    self._record_departure(response.leaving_process)
                 self._finish_on_close(response)
                 finishes_on_close = True
             elif _is_not_serving(outcome.failure()):
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -71,6 +71,8 @@
     :ivar pressure: level of the pressure on this call's route, 0 for none.
     :ivar load: running and queued calls per slot of the owner.
     :ivar is_caused_below: whether a nested call of this run failed.
+    :ivar leaving_process: process of the backend server that responded, if it
+        is about to leave.
     """
 
     status: int
@@ -80,6 +82,7 @@
     pressure: float
     load: float = 0.0
     is_caused_below: bool = False
+    leaving_process: registry.BackendProcess | None = None
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -201,6 +201,7 @@
         level,
         load,
         response.is_caused_below,
+        response.leaving_process,
     )
     await stream.send(head, body)
     if is_small:
@@ -244,6 +245,7 @@
             chunks,
             close,
             is_caused_below=message.is_caused_below,
+            leaving_process=message.leaving_process,
         )
     )
 
--- a/daemon/src/cactusloftd/_registrations.py
+++ b/daemon/src/cactusloftd/_registrations.py
@@ -8,6 +8,7 @@
 import asyncio
 import zlib
 
+import attrs
 import msgspec
 
 from cactusloft_membership import exchange
@@ -204,7 +205,7 @@
         inputs = (
             self._incarnation,
             report.services,
-            (state.service, state.instance, state.slots, state.is_serving),
+            attrs.evolve(state, sequence=0),
             self._is_settled(now),
         )
         revision = self._registry.find_revision(report.services) + 1
--- a/daemon/src/cactusloftd/resident/_backend_server.py
+++ b/daemon/src/cactusloftd/resident/_backend_server.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from cactusloft_membership import registry
+
 # Four heartbeat intervals. A crash is detected sooner, by failed connections.
 LEASE_S = 6.0
 
@@ -25,6 +27,15 @@
     has_left: bool = False
     is_unreachable: bool = False
 
+    @property
+    def process(self):
+        """Return the :class:`registry.BackendProcess`, None if unknown."""
+        if self.heartbeat is None:
+            return None
+        return registry.BackendProcess(
+            self.heartbeat.instance, self.heartbeat.born_ms
+        )
+
     def apply_heartbeat(self, heartbeat, now):
         """Apply a heartbeat, unless a newer one was applied before.
 
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -87,6 +87,11 @@
         """Tell whether new calls are accepted."""
         return not self._is_stopping and self._state.is_serving(self._now())
 
+    @property
+    def is_leaving(self):
+        """Tell whether the backend server has announced its departure."""
+        return self._state.has_left
+
     @property
     def service(self):
         """Return the service of the backend server, empty if unknown."""
@@ -290,6 +295,8 @@
             if isinstance(outcome, result.Success):
                 response = outcome.unwrap()
                 response.is_caused_below = run.has_failed_nested_call
+                if self._state.has_left and run.gate is self._gate:
+                    response.leaving_process = self._state.process
                 run.outcome = _O.SUCCESS
                 if response.status >= 500:
                     run.outcome = _O.ERROR
@@ -401,7 +408,13 @@
     def _handle_metadata(self, gate, metadata):
         known = gate.admission.rate_limit
         gate.receive_response(metadata.rate_limit)
-        if gate is self._gate and gate.admission.rate_limit != known:
+        if gate is not self._gate:
+            return
+        if metadata.is_leaving and not self._state.has_left:
+            self._state.has_left = True
+            self._log_draining(self._state.heartbeat.instance)
+            self.on_change()
+        if gate.admission.rate_limit != known:
             self._log.record(
                 _V.BACKEND_SERVER_LIMITED,
                 service=self.service,
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -385,6 +385,8 @@
             instance=heartbeat.instance if heartbeat else '',
             slots=heartbeat.slots if heartbeat else 0,
             is_serving=self._reported_serving,
+            born_ms=heartbeat.born_ms if heartbeat else 0,
+            is_leaving=self._owner.is_leaving,
         )
 
     def _register_gauges(self):
--- a/libs/membership/src/cactusloft_membership/_registrations.py
+++ b/libs/membership/src/cactusloft_membership/_registrations.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from cactusloft_membership import _departures
+
 
 @attrs.frozen
 class Registration:
@@ -22,6 +24,9 @@
     :ivar slots: number of calls that the backend server can run
         concurrently.
     :ivar is_serving: whether the backend server accepts new work.
+    :ivar born_ms: wall clock time in milliseconds at which the backend
+        server's process started, 0 if unknown.
+    :ivar is_leaving: whether that process has announced its departure.
     """
 
     name: str
@@ -36,12 +41,19 @@
     instance: str = ''
     slots: int = 0
     is_serving: bool = False
+    born_ms: int = 0
+    is_leaving: bool = False
 
     @property
     def position(self):
         """Return the sort key among the registrations of this daemon."""
         return self.incarnation, self.sequence
 
+    @property
+    def process(self):
+        """Return the :class:`BackendProcess` of the backend server."""
+        return _departures.BackendProcess(self.instance, self.born_ms)
+
     def is_same_member(self, other):
         """Return whether ``other`` differs in nothing but the sequence."""
         return attrs.evolve(self, sequence=other.sequence) == other
--- a/libs/membership/src/cactusloft_membership/_view.py
+++ b/libs/membership/src/cactusloft_membership/_view.py
@@ -1,6 +1,7 @@
 """A daemon's view of the members of the services that it calls."""
 
 from cactusloft_membership import _choice
+from cactusloft_membership import _departures
 from cactusloft_membership import _subset
 
 # A service without calls for this time is removed from the view.
@@ -25,6 +26,7 @@
         self._random = random_source
         self._choosers = {}
         self._last_used_at = {}
+        self._departures = _departures.Departures()
 
     def record_use(self, service, now):
         """Record a call to ``service``; return whether the service is new."""
@@ -53,6 +55,9 @@
         :param now: monotonic seconds.
         """
         members = list(members)
+        for member in members:
+            if member.is_leaving:
+                self._departures.record(member.process)
         for service in set(services) & set(self._last_used_at):
             serving = [
                 member
@@ -60,12 +65,26 @@
                 if member.service == service
                 and member.is_serving
                 and member.name != self._daemon
+                and not self._departures.has_left(member.process)
             ]
             subset = _subset.choose_subset(
                 self._daemon, self._data_centre, serving
             )
             self.find_chooser(service).update(subset, now)
 
+    def record_departure(self, process, now):
+        """Choose no member with this :class:`BackendProcess` any more.
+
+        :param now: monotonic seconds.
+        """
+        if self._departures.has_left(process):
+            return
+        self._departures.record(process)
+        for chooser in self._choosers.values():
+            remaining = [m for m in chooser.members if m.process != process]
+            if len(remaining) < len(chooser.members):
+                chooser.update(remaining, now)
+
     def find_chooser(self, service):
         """Return the :class:`Chooser` of a service; create it on first use."""
         chooser = self._choosers.get(service)
--- /dev/null
+++ b/libs/membership/tests/test_departures.py
@@ -0,0 +1,88 @@
+"""Tests of the memory of departures of backend servers."""
+
+import random
+
+import attrs
+
+from cactusloft_membership import _departures
+from cactusloft_membership import choice
+from cactusloft_membership import registry
+
+
+def make_member(name, instance='i-1', incarnation=1, **fields):
+    """Return the registration of a daemon with a serving backend server."""
+    member = registry.Registration(
+        name=name,
+        incarnation=incarnation,
+        sequence=1,
+        host=name,
+        data_centre='a',
+        peers='',
+        admin='',
+        public_key='',
+        service='stock',
+        instance=instance,
+        slots=10,
+        is_serving=True,
+        born_ms=100,
+    )
+    return attrs.evolve(member, **fields)
+
+
+def make_view():
+    """Return a view that uses the service."""
+    view = choice.MembershipView('here', 'a', random.Random(1))
+    view.record_use('stock', 0.0)
+    return view
+
+
+def list_names(view):
+    """Return the names of the members to choose from."""
+    return {member.name for member in view.find_chooser('stock').members}
+
+
+def test_restarted_daemon_brings_a_leaving_process_back():
+    """A daemon that has forgotten the departure registers it as serving."""
+    view = make_view()
+    view.update(['stock'], [make_member('m1'), make_member('m2', 'i-2')], 0.0)
+    view.record_departure(registry.BackendProcess('i-1', 100), 1.0)
+    assert list_names(view) == {'m2'}
+    restarted = make_member('m1', incarnation=2)
+    view.update(['stock'], [restarted, make_member('m2', 'i-2')], 2.0)
+    assert list_names(view) == {'m2'}
+
+
+def test_departure_that_a_daemon_registered_is_forgotten():
+    """A delayed heartbeat may make a restarted daemon report it as ready."""
+    view = make_view()
+    leaving = make_member('m1', is_serving=False, is_leaving=True)
+    view.update(['stock'], [leaving], 0.0)
+    view.update(['stock'], [make_member('m1', incarnation=2)], 1.0)
+    assert not list_names(view)
+
+
+def test_next_process_with_the_same_identity_is_excluded():
+    """A backend server may start again under the identity that it had."""
+    view = make_view()
+    view.record_departure(registry.BackendProcess('i-1', 100), 0.0)
+    view.update(['stock'], [make_member('m1', born_ms=200)], 1.0)
+    assert list_names(view) == {'m1'}
+
+
+def test_stopping_daemon_is_taken_for_a_leaving_backend_server():
+    """The backend server of a stopped daemon serves again after its start."""
+    view = make_view()
+    view.update(['stock'], [make_member('m1', is_serving=False)], 0.0)
+    view.update(['stock'], [make_member('m1', incarnation=2)], 1.0)
+    assert list_names(view) == {'m1'}
+
+
+def test_departures_fill_the_memory():
+    """Thousands of processes are replaced each day; the oldest are dropped."""
+    departures = _departures.Departures()
+    count = _departures.MAX_KEPT_DEPARTURES + 10
+    processes = [registry.BackendProcess(f'i-{n}', n) for n in range(count)]
+    for process in processes:
+        departures.record(process)
+    known = [departures.has_left(process) for process in processes]
+    assert known == [False] * 10 + [True] * (count - 10)
