Keep late responses of a former process from its successor

Seen in a test that fails before: a backend server that was replaced at its address answers 421 to a request of its predecessor, or the response arrives after the first heartbeat of the successor; the owner then takes no calls for the successor until it is replaced again.

Cause: the owner marked whatever process it knew by then as left. Found while looking for other places that act on what a response says.

Change: such a response counts only for the process that the call was sent to.

--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -327,8 +327,10 @@
         if error.kind is _E.OVERLOADED:
             run.outcome = _O.SHED
         elif error.kind is _E.NO_BACKEND_SERVER:
-            self._state.has_left = True
-            self.on_change()
+            # The connections of a former process say nothing of its successor.
+            if run.gate is self._gate:
+                self._state.has_left = True
+                self.on_change()
         elif error.kind is _E.BACKEND_SERVER_FAILED:
             run.outcome = _O.ERROR
             if error.detail == _delivery.UNREACHABLE:
