Refuse requests that a stopping resident could not finish

Cause: a resident that still had a request in progress took new ones until its exit, whatever time was left.

Change: callers have 2.5 s to notice the stop. After that, a request is passed on only if its timeout ends before the process does; others are refused with 503 (not run), Retry-After and Connection: close. Nested calls of requests that already run are taken as before.

--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -21,6 +21,7 @@
 from cactusloftd.resident import _placing
 from cactusloftd.resident import _returning
 from cactusloftd.resident import _splits
+from cactusloftd.resident import _stopping
 
 # Owners tried for one call. More would add load when every owner is full.
 MAX_OWNERS = 3
@@ -63,6 +64,7 @@
     :param members: :class:`_members.Members`.
     :param debits: :class:`_debits.Debits`.
     :param marks: :class:`_marks.Marks`.
+    :param stop: :class:`_stopping.Stop` of this process.
     :param log: :class:`events.EventLog`.
     :param metrics: :class:`_metrics.Metrics`.
     :param now: function that returns monotonic time in seconds.
@@ -76,6 +78,7 @@
         members,
         debits,
         marks,
+        stop,
         log,
         metrics,
         now,
@@ -86,6 +89,7 @@
         self._members = members
         self._debits = debits
         self._marks = marks
+        self._stop = stop
         self._log = log
         self._metrics = metrics
         self._now = now
@@ -107,6 +111,17 @@
             return authorised
         route, account_name = authorised.unwrap()
         call = self._make_call(request, route, account_name, caller_service)
+        # Nested calls belong to requests that were taken before.
+        if not request.parent_id and not self._stop.takes(
+            call.context.deadline
+        ):
+            refused = _calls.fail(
+                _E.SHUTTING_DOWN,
+                'host stops before the deadline',
+                retry_after_s=_stopping.RETRY_AFTER_S,
+            )
+            self._record_refusal(request, refused.failure(), arrived_at, call)
+            return refused
         self._find_budget(call.context.service).record_request(
             call.context.is_repeat
         )
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -35,19 +35,16 @@
 from cactusloftd.resident import _group_entry
 from cactusloftd.resident import _line_log
 from cactusloftd.resident import _owner
+from cactusloftd.resident import _stopping
 
 STDOUT_DESCRIPTOR = 1
 REPORT_INTERVAL_S = 1.0
 SHUTDOWN_POLL_S = 0.02
-# Time for callers to detect that the host accepts no new requests.
-DRAIN_NOTICE_S = 2.5
 FAILURE_POLL_S = 0.5
 # Limits the rate of restarts while a disk keeps failing.
 RESTART_DELAY_S = 3.0
 # A document confirmed longer ago than this is not returned as the newest.
 MAX_READ_AGE_S = 1.0
-# Part of the shutdown grace that is reserved for the exit of the process.
-EXIT_RESERVE_S = 0.95
 _V = events.Event
 
 
@@ -109,7 +106,7 @@
         )
         self.exchanges = _exchanges.Exchanges()
         self._registration_changed = asyncio.Event()
-        self._is_stopping = False
+        self._stop = _stopping.Stop(settings.shutdown_grace_s, self._now)
         self._reported_serving = False
         self._tasks = []
         self._create_group_clients()
@@ -122,12 +119,12 @@
         """Tell whether callers may send new requests here."""
         installed = self._plane.installed
         is_known = installed.version.number > 0 and installed.is_fresh()
-        return not self._is_stopping and is_known
+        return not self._stop.has_begun and is_known
 
     @property
     def is_stopping(self):
         """Tell whether connections are to be closed after their response."""
-        return self._is_stopping
+        return self._stop.has_begun
 
     @property
     def owner(self):
@@ -230,21 +227,17 @@
         :param stop_listening: function that stops accepting connections;
             called once callers had time to detect the shutdown.
         """
-        self._is_stopping = True
+        self._stop.begin()
         self.log.record(
             _V.DAEMON_STOPPING, open_exchanges=self.exchanges.count
         )
-        started_at = self._now()
         if self._host_context.backend_server:
             self._owner.stop()
             await self._members.report_now()
-            notice_until = started_at + DRAIN_NOTICE_S
-            await asyncio.sleep(max(0.0, notice_until - self._now()))
+            notice_s = self._stop.notice_until - self._now()
+            await asyncio.sleep(max(0.0, notice_s))
         stop_listening()
-        deadline = (
-            started_at + self._settings.shutdown_grace_s - EXIT_RESERVE_S
-        )
-        while self._now() < deadline and self._is_busy():
+        while self._now() < self._stop.exit_at and self._is_busy():
             await asyncio.sleep(SHUTDOWN_POLL_S)
 
     async def close(self):
@@ -334,6 +327,7 @@
             members,
             self._debits,
             self._marks,
+            self._stop,
             self.log,
             self.metrics,
             self._now,
--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -15,8 +15,10 @@
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _entry
 from cactusloftd.resident import _owner
+from cactusloftd.resident import _stopping
 from cactusloftd.resident import protocol
 
+GRACE_S = 6.0
 _E = errors.ErrorKind
 _N = errors.NotRun
 TEXT = f"""
@@ -159,6 +161,7 @@
     marks = types.SimpleNamespace(check=lambda name: result.Success(None))
     owner = LocalOwner()
     debits = Debits()
+    stop = _stopping.Stop(GRACE_S, clock)
     entry = _entry.Entry(
         types.SimpleNamespace(name='here'),
         Config(is_fresh),
@@ -166,12 +169,14 @@
         Members(members),
         debits,
         marks,
+        stop,
         Log(),
         _metrics.Metrics(),
         clock,
     )
     entry.debits = debits
     entry.owner = owner
+    entry.stop = stop
     return entry
 
 
--- /dev/null
+++ b/daemon/tests/resident/test_stopping.py
@@ -0,0 +1,83 @@
+"""Tests of the requests that arrive while the process stops."""
+
+import asyncio
+
+import pytest
+
+from cactusloft_model import errors
+from cactusloftd.resident import _stopping
+
+from . import entry_stubs as stubs
+
+GRACE_S = 6.0
+
+
+class Clock:
+    """A clock that tests set."""
+
+    def __init__(self):
+        self.now = 50.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.mark.parametrize(
+    'after_s, timeout_s, is_taken',
+    [
+        (0.0, 8.0, True),
+        (2.4, 8.0, True),
+        (2.6, 8.0, False),
+        (2.6, 2.4, True),
+        (4.0, 1.1, False),
+        (4.0, 1.0, True),
+        (5.1, 0.01, False),
+    ],
+)
+def test_late_request_is_cut_off_at_the_end(after_s, timeout_s, is_taken):
+    """After the notice, a request must end before the process does."""
+    clock = Clock()
+    stop = _stopping.Stop(GRACE_S, clock)
+    stop.begin()
+    clock.now += after_s
+    assert stop.takes(clock.now + timeout_s) is is_taken
+
+
+def test_running_process_refuses_requests():
+    """Nothing is refused before the stop has begun."""
+    stop = _stopping.Stop(GRACE_S, Clock())
+    assert not stop.has_begun
+    assert stop.takes(1e9)
+
+
+def serve_late(request, parent=None):
+    """Serve a request after the notice; return its outcome and members."""
+    members = stubs.make_members(stubs.succeed())
+
+    async def run():
+        entry = stubs.make_entry(*members)
+        entry.stop.begin()
+        entry.stop.notice_until = entry.stop.exit_at = 0.0
+        if parent is not None:
+            entry.owner.running['a1.x'] = parent
+        return await entry.serve(request, 'track')
+
+    return asyncio.run(run()), members
+
+
+def test_late_order_is_lost():
+    """The caller learns that it was not run, and when to return."""
+    outcome, members = serve_late(stubs.make_request('/order/1'))
+    error = outcome.failure()
+    assert error.kind is errors.ErrorKind.SHUTTING_DOWN
+    assert error.effective_not_run is errors.NotRun.TRUE
+    assert error.response.retry_after_s == _stopping.RETRY_AFTER_S
+    assert not members[0].calls
+
+
+def test_nested_call_of_a_running_request_is_refused_during_a_stop():
+    """The request would fail although there is time to finish it."""
+    request = stubs.make_request('/inner/1', '', parent_id='a1.x')
+    outcome, members = serve_late(request, stubs.make_parent())
+    assert outcome.unwrap().status == 200
+    assert members[0].calls
