Recognise chunked responses whatever the case of their coding

A head that is cut at any byte is no response here, nor is a body that is shorter than its length. But a response with "Transfer-Encoding: Chunked", or with two such headers, that ended early was taken for one without a length, which ends with its connection: a 200 with whatever had arrived.

Change: all such headers count, in any case.

--- a/daemon/src/cactusloftd/resident/_exchange.py
+++ b/daemon/src/cactusloftd/resident/_exchange.py
@@ -298,7 +298,10 @@
             self._is_skipping = False
 
     def _is_chunked(self, response):
-        return 'chunked' in response.by_name.get('transfer-encoding', '')
+        return any(
+            name.lower() == 'transfer-encoding' and 'chunked' in value.lower()
+            for name, value in response.headers
+        )
 
     def _resume_reading(self):
         if not self.is_closed and not self._transport.is_closing():
