Remember declined attempts as long as their connection is used

Cause: a connection remembered only the last 16 attempt ids.

Change: ids of declined attempts are kept until the connection ends, which is not used again after 64 of them.

--- a/daemon/src/cactusloftd/resident/_exchange.py
+++ b/daemon/src/cactusloftd/resident/_exchange.py
@@ -20,6 +20,9 @@
 MAX_UNREAD_BYTES = 256 * 1024
 # Attempt ids that a connection remembers.
 MAX_KEPT_IDS = 16
+# Declined attempts after which a connection is not used again. Until then it
+# remembers all of them, as they may be sent again at any time.
+MAX_DECLINED_IDS = 64
 # Bytes that are no part of a body (heads, chunk sizes, trailers), in addition
 # to ``MAX_OVERHEAD_RATIO`` times the bytes of the body.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -73,6 +76,7 @@
         self._parser = None
         self._attempt_id = ''
         self._used_ids = collections.deque(maxlen=MAX_KEPT_IDS)
+        self._declined_ids = set()
         self._method = ''
         self._headers = []
         self._response = None
@@ -99,18 +103,19 @@
             not self.is_closed
             and self._keeps_alive
             and self._failure is None
+            and len(self._declined_ids) < MAX_DECLINED_IDS
             and not self._transport.is_closing()
             # The server responded before it had read the whole request.
             and not self._transport.get_write_buffer_size()
         )
 
     def has_carried(self, attempt_id):
-        """Tell whether a request with this id was sent here recently.
+        """Tell whether a request with this id was declined or sent recently.
 
         A late copy of the response to it would be taken for the response to
         a second request with the same id.
         """
-        return attempt_id in self._used_ids
+        return attempt_id in self._declined_ids or attempt_id in self._used_ids
 
     def send(self, attempt_id, method, content):
         """Send a request; its response is read by :meth:`receive_head`.
@@ -267,6 +272,8 @@
         has_body = self._method != 'HEAD' and status not in _BODILESS
         length = by_name.get('content-length') if has_body else '0'
         self.idle_s = metadata.idle_s
+        if metadata.is_not_run:
+            self._declined_ids.add(self._attempt_id)
         self._keeps_alive = (
             self._keeps_alive and self._parser.should_keep_alive()
         )
--- a/daemon/tests/resident/test_repeated_refusals.py
+++ b/daemon/tests/resident/test_repeated_refusals.py
@@ -34,6 +34,10 @@
         self.run_ids = []
         self._refused_ids = set()
 
+    def refuse_no_more(self, call_id):
+        """Run a request even if it is the first one of its connection."""
+        self._refused_ids.add(call_id.encode())
+
     async def serve(self, reader, writer):
         """Serve one connection."""
         refusal = b''
@@ -110,6 +114,21 @@
     assert ran == len(backend_server.run_ids) > 0
 
 
+@pytest.mark.parametrize('has_id', [True, False], ids=['id', 'no id'])
+@pytest.mark.parametrize('moment', MOMENTS)
+def test_old_refusal_hides_that_an_order_ran(moment, has_id):
+    """A refused order may wait in a queue before it is sent again."""
+    backend_server = Server(moment, has_id)
+    others = [f'x{number}' for number in range(40)]
+    # Declined as the first one of its connection, then sent once more.
+    for call_id in others:
+        backend_server.refuse_no_more(call_id)
+    call_ids = ['b1', *others, 'b1', 'c1']
+    outcomes = asyncio.run(send_all(backend_server, call_ids))
+    ran = len([o for o in outcomes if not is_not_run(o)])
+    assert ran == len(backend_server.run_ids) > 0
+
+
 def is_not_run(outcome):
     """Tell whether an outcome says that the call was not run."""
     if isinstance(outcome, result.Success):
