Refuse nested calls that a stopping resident could not finish

The deadline alone would refuse calls that finish in time, as it is that of the call above, which was taken before.

Evidence: test_late_nested_call_is_cut_off_at_the_end fails before.

--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -111,10 +111,7 @@
             return authorised
         route, account_name = authorised.unwrap()
         call = self._make_call(request, route, account_name, caller_service)
-        # Nested calls belong to requests that were taken before.
-        if not request.parent_id and not self._stop.takes(
-            call.context.deadline
-        ):
+        if not self._stop.takes(self._estimate_end(call)):
             refused = _calls.fail(
                 _E.SHUTTING_DOWN,
                 'host stops before the deadline',
@@ -206,6 +203,18 @@
             patience_s=(route.target_latency_ms or timeout_ms) / 1000,
         )
 
+    def _estimate_end(self, call):
+        """Return the monotonic time by which the call will have ended.
+
+        A nested call is expected to end within its target latency. Refusing
+        it for its deadline, which is that of the call above, would fail a
+        request that was taken before.
+        """
+        deadline = call.context.deadline
+        if call.context.parent_call_id:
+            return min(deadline, self._now() + call.patience_s)
+        return deadline
+
     async def _admit(self, call, route):
         checked = self._marks.check(call.context.fingerprint)
         if not pipeline.is_successful(checked):
--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -52,6 +52,8 @@
 service = track
 access = open
 idempotent = yes
+deadline_ms = 60000
+target_latency_ms = 10000
 """
 
 
--- a/daemon/tests/resident/test_stopping.py
+++ b/daemon/tests/resident/test_stopping.py
@@ -50,14 +50,18 @@
     assert stop.takes(1e9)
 
 
-def serve_late(request, parent=None):
-    """Serve a request after the notice; return its outcome and members."""
+def serve_late(request, left_s=0.0, parent=None):
+    """Serve a request after the notice; return its outcome and members.
+
+    :param left_s: seconds until the process no longer waits for requests.
+    """
     members = stubs.make_members(stubs.succeed())
 
     async def run():
         entry = stubs.make_entry(*members)
         entry.stop.begin()
-        entry.stop.notice_until = entry.stop.exit_at = 0.0
+        entry.stop.notice_until = 0.0
+        entry.stop.exit_at = asyncio.get_running_loop().time() + left_s
         if parent is not None:
             entry.owner.running['a1.x'] = parent
         return await entry.serve(request, 'track')
@@ -75,9 +79,23 @@
     assert not members[0].calls
 
 
+def serve_late_nested_call(left_s):
+    """Serve a nested call with a target latency of 10 s of its 60 s."""
+    request = stubs.make_request(
+        '/inner/1', '', deadline_ms=60000, parent_id='a1.x'
+    )
+    return serve_late(request, left_s, stubs.make_parent())
+
+
 def test_nested_call_of_a_running_request_is_refused_during_a_stop():
     """The request would fail although there is time to finish it."""
-    request = stubs.make_request('/inner/1', '', parent_id='a1.x')
-    outcome, members = serve_late(request, stubs.make_parent())
+    outcome, members = serve_late_nested_call(30.0)
     assert outcome.unwrap().status == 200
     assert members[0].calls
+
+
+def test_late_nested_call_is_cut_off_at_the_end():
+    """Without the time to finish, the call above must not wait for it."""
+    outcome, members = serve_late_nested_call(5.0)
+    assert outcome.failure().kind is errors.ErrorKind.SHUTTING_DOWN
+    assert not members[0].calls
