Keep a named limit against responses that began before it

Found by reading the rate limit again: the body of a response may end long after its head was written.

Change: a response without a limit counts only if its call was sent after the last response that named one.

Evidence: test_late_responses_lift_a_limit_that_began_after_them; with the comparison removed it fails (None == 1.0).

--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -67,9 +67,12 @@
         """
         self._apply(self.admission.finish(ticket, outcome, latency_s))
 
-    def receive_response(self, rate_limit):
-        """Apply the rate limit that a response named, None for no limit."""
-        self._apply(self.admission.receive_response(rate_limit))
+    def receive_response(self, rate_limit, started_at):
+        """Apply the rate limit that a response named, None for no limit.
+
+        :param started_at: monotonic seconds at which its call was sent.
+        """
+        self._apply(self.admission.receive_response(rate_limit, started_at))
 
     def _withdraw(self, ticket, is_late=False):
         if ticket.started_at is None:
--- a/daemon/src/cactusloftd/resident/_delivery.py
+++ b/daemon/src/cactusloftd/resident/_delivery.py
@@ -40,7 +40,8 @@
     :param protocol: :class:`protocol.BackendProtocol`.
     :param now: function that returns monotonic time in seconds.
     :ivar on_metadata: function called with the
-        :class:`protocol.ResponseMetadata` of each response of the process.
+        :class:`protocol.ResponseMetadata` of each response of the process
+        and the monotonic time in seconds at which its request was sent.
     """
 
     def __init__(self, address, instance, protocol, now):
@@ -51,7 +52,7 @@
         self._now = now
         self._idle = collections.deque()
         self._connections = set()
-        self.on_metadata = lambda metadata: None
+        self.on_metadata = lambda metadata, sent_at: None
 
     def close(self):
         """Close all connections."""
@@ -92,7 +93,8 @@
 
     async def _exchange(self, connection, call):
         context = call.context
-        remaining_ms = context.remaining_ms(self._now())
+        sent_at = self._now()
+        remaining_ms = context.remaining_ms(sent_at)
         head = self._protocol.write_head(call, self._instance, remaining_ms)
         connection.send(context.call_id, call.method, head + call.body)
         try:
@@ -104,7 +106,7 @@
             return _calls.fail(_E.BACKEND_SERVER_FAILED, str(error))
         if response.metadata.is_other_instance:
             return _calls.fail(_E.NO_BACKEND_SERVER, OTHER_INSTANCE, _TRUE)
-        self.on_metadata(response.metadata)
+        self.on_metadata(response.metadata, sent_at)
         if response.metadata.is_not_run:
             return _calls.fail(_E.OVERLOADED, DECLINED)
         return result.Success(
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -407,9 +407,9 @@
         self._running.pop(run.call.context.call_id, None)
         run.gate.leave(run.ticket, run.outcome)
 
-    def _handle_metadata(self, gate, metadata):
+    def _handle_metadata(self, gate, metadata, sent_at):
         known = gate.admission.rate_limit
-        gate.receive_response(metadata.rate_limit)
+        gate.receive_response(metadata.rate_limit, sent_at)
         if gate is not self._gate:
             return
         if metadata.is_leaving and not self._state.has_left:
--- a/daemon/tests/resident/test_owner.py
+++ b/daemon/tests/resident/test_owner.py
@@ -203,7 +203,9 @@
             run = bench.owner._running['a1']
             bench.owner.handle_heartbeat(successor)
             metadata = Protocol().read_metadata(200, {'leaving': '1'})
-            run.delivery.on_metadata(attrs.evolve(metadata, rate_limit=0.5))
+            run.delivery.on_metadata(
+                attrs.evolve(metadata, rate_limit=0.5), 0.0
+            )
             error = errors.CallError(errors.ErrorKind.NO_BACKEND_SERVER)
             await bench.owner._handle_failure(run, error)
             bench.backend_server.release.set()
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -125,14 +125,15 @@
         report = _load.LoadReport(load, slots, self._read_clock())
         self._reports.receive(report, self._in_flight)
 
-    def receive_response(self, rate_limit):
+    def receive_response(self, rate_limit, started_at):
         """Apply what a response said of the backend server.
 
         :param rate_limit: calls per second that it accepts, None if it named
             no limit.
+        :param started_at: monotonic seconds at which its call was sent.
         :returns: list of :class:`Decision` on queued calls.
         """
-        self._rate.receive(rate_limit, self._read_clock())
+        self._rate.receive(rate_limit, started_at, self._read_clock())
         return self.advance() if self.queued else []
 
     def submit(self, ticket):
--- a/libs/admission/src/cactusloft_admission/_rate.py
+++ b/libs/admission/src/cactusloft_admission/_rate.py
@@ -14,8 +14,8 @@
 BURST_S = 0.25
 # Calls in flight before the first response of a process.
 FIRST_CALLS = 2
-# Responses without a limit, in a row, that end it. A single one may have been
-# sent before the limit began, and all queued calls would start at once.
+# Responses without a limit, in a row, that end it. After a single one, which a
+# faulty backend server may send, all queued calls would start at once.
 LIFTING_RESPONSES = 3
 
 
@@ -30,6 +30,7 @@
         self.rate = None
         self._tokens = 0.0
         self._filled_at = now
+        self._named_at = float('-inf')
         self._unlimited_responses = 0
         self._has_response = False
 
@@ -38,16 +39,22 @@
         """Return how many calls may be in flight, None for no limit."""
         return None if self._has_response else FIRST_CALLS
 
-    def receive(self, rate, now):
+    def receive(self, rate, started_at, now):
         """Apply a response.
 
         :param rate: calls per second that it named, None if it named none.
+        :param started_at: monotonic seconds at which its call was sent.
         """
         self._has_response = True
         if rate is not None:
+            self._named_at = now
             self._unlimited_responses = 0
             self._set_rate(max(MIN_RATE, rate), now)
             return
+        # The response may have been written before the limit began, and have
+        # arrived late.
+        if started_at <= self._named_at:
+            return
         self._unlimited_responses += 1
         if self._unlimited_responses >= LIFTING_RESPONSES:
             self.rate = None
--- a/libs/admission/tests/test_rate.py
+++ b/libs/admission/tests/test_rate.py
@@ -53,11 +53,17 @@
             due = [t for t in self._running if self._is_due(t)]
             for ticket in due:
                 self._running.remove(ticket)
-                self._apply(self.admission.receive_response(rate_limit))
+                self.receive(rate_limit, ticket.started_at)
                 outcome = controller.Outcome.SUCCESS
                 self._apply(self.admission.finish(ticket, outcome))
             self._apply(self.admission.advance())
 
+    def receive(self, rate_limit, started_at=None):
+        """Apply a response, by default to a call that starts now."""
+        self.now += 0.001
+        started_at = self.now if started_at is None else started_at
+        self._apply(self.admission.receive_response(rate_limit, started_at))
+
     def _is_due(self, ticket):
         return ticket.started_at + self._service_s <= self.now
 
@@ -117,17 +123,31 @@
 
 
 def test_single_response_lifts_the_limit():
-    """One response without a limit may be older than the limit."""
+    """One response without a limit may come from a faulty server."""
     owner = Owner()
     owner.submit()
     owner.advance(0.06, 1.0)
     for _ in range(20):
         owner.submit()
-    owner.admission.receive_response(None)
-    owner.admission.receive_response(None)
+    owner.receive(None)
+    owner.receive(None)
+    assert owner.admission.rate_limit == 1.0
+    owner.receive(1.0)
+    owner.receive(None)
     assert owner.admission.rate_limit == 1.0
-    owner.admission.receive_response(1.0)
-    owner.admission.receive_response(None)
+    assert len(owner.started) <= 3
+
+
+def test_late_responses_lift_a_limit_that_began_after_them():
+    """Bodies that arrive slowly may end after the limit was named."""
+    owner = Owner()
+    started_at = owner.now
+    owner.submit()
+    owner.advance(0.06, 1.0)
+    for _ in range(50):
+        owner.submit()
+    for _ in range(10):
+        owner.receive(None, started_at)
     assert owner.admission.rate_limit == 1.0
     assert len(owner.started) <= 3
 
