Remember departures at control hosts and tell them to restarted owners

Seen in a test with the real programs: a backend server reported "draining" and was acknowledged; the daemons beside it and beside another one were restarted; a heartbeat from before the departure arrived at the new owner.

Cause: hosts that stay up remember a departure since, but those that restart with the owner learn the members from control hosts, which kept nothing of a departure once the owner had registered again.

Change: the registry of each control host remembers the processes that have left, corrects registrations that say otherwise, whether they come from a daemon or from another control host, and tells the owner in its next table.

Left: all control hosts restarting at the same time as well.

--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -37,6 +37,8 @@
     :ivar find_home: function that returns the :class:`ControlHost` that this
         daemon watches, or None.
     :ivar on_report_due: function called when a report must be sent at once.
+    :ivar on_departure: function called with the process of the local backend
+        server when the home knows that it has announced its departure.
     """
 
     def __init__(self, node, control_hosts, make_registration, view, now):
@@ -56,6 +58,7 @@
         self._acked_sequence = 0
         self.find_home = lambda: None
         self.on_report_due = lambda: None
+        self.on_departure = lambda process: None
 
     def list_members(self):
         """Return the registrations of the services in use."""
@@ -115,6 +118,8 @@
             table.services, self._registrations.values(), self._now()
         )
         self._known_services.update(table.services)
+        if table.leaving_process is not None:
+            self.on_departure(table.leaving_process)
         self._acked_sequence = max(self._acked_sequence, table.sequence)
         self._table_received.set()
         self._table_received = asyncio.Event()
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -174,6 +174,8 @@
     :ivar is_settled: whether all daemons have had time to register.
     :ivar is_difference: whether ``members`` and ``removed`` are changes.
     :ivar removed: names of daemons that are no longer members.
+    :ivar leaving_process: process of the daemon's own backend server, if it is
+        known to have announced its departure.
     """
 
     sequence: int
@@ -182,6 +184,7 @@
     is_settled: bool = True
     is_difference: bool = False
     removed: tuple[str, ...] = ()
+    leaving_process: registry.BackendProcess | None = None
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_registrations.py
+++ b/daemon/src/cactusloftd/_registrations.py
@@ -100,6 +100,7 @@
             is_settled,
             is_difference,
             tuple(removed),
+            self._find_leaving_process(report),
         )
         content = msgspec.msgpack.encode(table)
         return _messages.Table(TABLE, version, content)
@@ -206,11 +207,17 @@
             self._incarnation,
             report.services,
             attrs.evolve(state, sequence=0),
+            self._find_leaving_process(report),
             self._is_settled(now),
         )
         revision = self._registry.find_revision(report.services) + 1
         return (revision << 32) | zlib.crc32(repr(inputs).encode())
 
+    def _find_leaving_process(self, report):
+        """Return the process of the daemon's backend server if it has left."""
+        process = report.registration.process
+        return process if self._registry.has_left(process) else None
+
     def _is_settled(self, now):
         """Tell whether daemons of lost homes have had time to register."""
         is_fixed = bool(self._settings.document_file)
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -179,6 +179,14 @@
             self._log_draining(instance)
             self.on_change()
 
+    def handle_departure(self, process):
+        """Apply a departure that other hosts remember.
+
+        :param process: :class:`registry.BackendProcess`.
+        """
+        if process == self._state.process and not self._state.has_left:
+            self.leave(process.instance, process.born_ms)
+
     def stop(self):
         """Accept no new calls; calls in progress continue."""
         self._is_stopping = True
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -333,6 +333,7 @@
             self._now,
         )
         members.on_report_due = self._registration_changed.set
+        members.on_departure = self._owner.handle_departure
         members.find_home = plane.watcher.find_home
         for name, user in (
             (_registrations.TABLE, members),
--- a/libs/membership/src/cactusloft_membership/_registrations.py
+++ b/libs/membership/src/cactusloft_membership/_registrations.py
@@ -54,6 +54,10 @@
         """Return the :class:`BackendProcess` of the backend server."""
         return _departures.BackendProcess(self.instance, self.born_ms)
 
+    def mark_leaving(self):
+        """Return the registration of a process that has left."""
+        return attrs.evolve(self, is_serving=False, is_leaving=True)
+
     def is_same_member(self, other):
         """Return whether ``other`` differs in nothing but the sequence."""
         return attrs.evolve(self, sequence=other.sequence) == other
--- a/libs/membership/src/cactusloft_membership/_registry.py
+++ b/libs/membership/src/cactusloft_membership/_registry.py
@@ -5,6 +5,9 @@
 its own: it is kept until its home removes it or the lease of that home
 expires. A registration never replaces a newer one of the same daemon, whether
 they come from the daemon or from another control host.
+
+The departure of a backend server's process is kept for longer: its daemon may
+have forgotten it in a restart, and then registers the process as serving.
 """
 
 import collections
@@ -12,6 +15,8 @@
 
 import attrs
 
+from cactusloft_membership import _departures
+
 REGISTRATION_LEASE_S = 3.0
 # Time for which the position (incarnation and sequence) of an expired
 # registration is kept. A message that is delayed for longer could restore a
@@ -78,6 +83,7 @@
         self._expiry_queue = []
         self._by_home = collections.defaultdict(dict)
         self._revisions = collections.Counter()
+        self._departures = _departures.Departures()
         self.changes = 0
         self.on_local_change = lambda name: None
 
@@ -150,6 +156,13 @@
         entry = self._by_home.get('', {}).get(name)
         return entry.registration if entry is not None else None
 
+    def has_left(self, process):
+        """Tell whether a backend server's process announced its departure.
+
+        :param process: :class:`BackendProcess`.
+        """
+        return self._departures.has_left(process)
+
     def list_local_registrations(self):
         """Return the registrations of the daemons at this home."""
         entries = self._by_home.get('', {}).values()
@@ -203,8 +216,12 @@
 
     def _store(self, known, entry, has_changed_home=False):
         """Store ``entry`` in place of ``known`` and record the change."""
-        self._replace(entry)
         registration = entry.registration
+        if registration.is_leaving:
+            self._record_departure(registration)
+        elif self._departures.has_left(registration.process):
+            registration = entry.registration = registration.mark_leaving()
+        self._replace(entry)
         is_same = False
         if known is None or not known.is_live:
             self._record_change(registration)
@@ -218,6 +235,24 @@
         if was_local != is_local or (is_local and has_changed):
             self.on_local_change(registration.name)
 
+    def _record_departure(self, registration):
+        """Correct registrations of the process that are already stored.
+
+        A home that has not heard of the departure may have sent one.
+        """
+        process = registration.process
+        if self._departures.has_left(process):
+            return
+        self._departures.record(process)
+        entries = self._by_service.get(registration.service, {})
+        for entry in list(entries.values()):
+            known = entry.registration
+            if known.process == process and not known.is_leaving:
+                entry.registration = known.mark_leaving()
+                self._record_change(known)
+                if not entry.home:
+                    self.on_local_change(known.name)
+
     def _replace(self, entry):
         """Index ``entry`` in place of the previous one of its daemon."""
         name = entry.registration.name
--- a/libs/membership/tests/test_departures.py
+++ b/libs/membership/tests/test_departures.py
@@ -69,6 +69,44 @@
     assert list_names(view) == {'m1'}
 
 
+def test_control_host_forgets_a_departure_with_the_registration():
+    """A host that starts later would believe the restarted daemon."""
+    known = registry.Registry()
+    known.register(make_member('m1', is_serving=False, is_leaving=True), 0.0)
+    known.expire(100.0)
+    restarted = make_member('m1', incarnation=2)
+    known.register(restarted, 100.0)
+    (member,) = known.list_members(['stock'], 100.1)
+    assert not member.is_serving
+    assert member.is_leaving
+    assert known.has_left(member.process)
+    # The next process at the same host serves.
+    known.register(make_member('m1', incarnation=3, born_ms=200), 100.2)
+    (member,) = known.list_members(['stock'], 100.3)
+    assert member.is_serving
+
+
+def test_other_home_brings_a_leaving_process_back():
+    """Control hosts hear of a departure and of a restart in any order."""
+    changed = []
+    known = registry.Registry()
+    known.on_local_change = changed.append
+    leaving = make_member('m1', is_serving=False, is_leaving=True)
+    restarted = make_member('m1', incarnation=2)
+    known.store_copy('c2', leaving, 0.0)
+    known.register(restarted, 0.1)
+    (member,) = known.list_members(['stock'], 0.2)
+    assert not member.is_serving
+    late = registry.Registry()
+    late.on_local_change = changed.append
+    late.register(make_member('m2'), 0.0)
+    changed.clear()
+    late.store_copy('c2', leaving, 0.1)
+    states = {m.is_serving for m in late.list_members(['stock'], 0.2)}
+    assert states == {False}
+    assert changed == ['m2']
+
+
 def test_stopping_daemon_is_taken_for_a_leaving_backend_server():
     """The backend server of a stopped daemon serves again after its start."""
     view = make_view()
