Take no request while a stopping resident closes its connections

Found by reading the stop again (rule LOST): a resident ends its stop when no request is in progress. A request that arrived in the same moment, before the connections were closed, was passed on and had 0.2 s left for its response.

Cause: whether a request is taken depended on the end of the grace, also when the process ends sooner.

Change: the last look at the requests in progress also ends the time in which requests are taken, without a pause in between. What comes later is refused as not run.

Evidence: test_request_that_comes_while_connections_are_closed_is_cut_off fails before ([True, True] == [True, False]). The moment is a turn of the event loop, so it was not seen with the real programs.

--- a/daemon/src/cactusloftd/resident/_stopping.py
+++ b/daemon/src/cactusloftd/resident/_stopping.py
@@ -43,6 +43,10 @@
         self.notice_until = started_at + NOTICE_S
         self.exit_at = started_at + self._grace_s - EXIT_RESERVE_S
 
+    def finish(self):
+        """Take no more requests, as connections are about to be closed."""
+        self.notice_until = self.exit_at = -math.inf
+
     def takes(self, deadline):
         """Tell whether a request that ends by ``deadline`` is taken now.
 
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -239,6 +239,9 @@
         stop_listening()
         while self._now() < self._stop.exit_at and self._is_busy():
             await asyncio.sleep(SHUTDOWN_POLL_S)
+        # Without a pause since the last look, so that no request is passed on
+        # in between and cut off by the close.
+        self._stop.finish()
 
     async def close(self):
         """Stop all components."""
--- a/daemon/tests/resident/test_stopping.py
+++ b/daemon/tests/resident/test_stopping.py
@@ -1,11 +1,13 @@
 """Tests of the requests that arrive while the process stops."""
 
 import asyncio
+import types
 
 import pytest
 
 from cactusloft_model import errors
 from cactusloftd.resident import _stopping
+from cactusloftd.resident import _wiring
 
 from . import entry_stubs as stubs
 
@@ -50,6 +52,36 @@
     assert stop.takes(1e9)
 
 
+class IdleResident(_wiring.Resident):
+    """A resident that only stops, without requests in progress."""
+
+    def __init__(self, clock):
+        self._stop = _stopping.Stop(GRACE_S, clock)
+        self._now = clock
+        self._host_context = types.SimpleNamespace(backend_server='')
+        self.exchanges = types.SimpleNamespace(count=0)
+        self.log = stubs.Log()
+
+    def takes(self, deadline):
+        """Tell whether a request that ends by ``deadline`` is taken."""
+        return self._stop.takes(deadline)
+
+
+def test_request_that_comes_while_connections_are_closed_is_cut_off():
+    """Once the last request has ended, the process does not wait again."""
+    clock = Clock()
+    resident = IdleResident(clock)
+    taken = []
+
+    def stop_listening():
+        taken.append(resident.takes(clock.now + 1.0))
+
+    asyncio.run(resident.shut_down(stop_listening))
+    taken.append(resident.takes(clock.now + 1.0))
+    assert taken == [True, False]
+    assert resident.is_stopping
+
+
 def serve_late(request, left_s=0.0, parent=None):
     """Serve a request after the notice; return its outcome and members.
 
