--- a/conftest.py
+++ b/conftest.py
@@ -6,8 +6,24 @@
 
 import pathlib
 
+import hypothesis
 import pytest
 
+# The same examples in each run, also on a slow machine. A run that is started
+# by hand with ``--hypothesis-profile=search`` draws new ones.
+hypothesis.settings.register_profile(
+    'repeatable',
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+hypothesis.settings.register_profile(
+    'search',
+    deadline=None,
+    max_examples=2000,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+hypothesis.settings.load_profile('repeatable')
 KNOWN_RED_PATH = pathlib.Path(__file__).parent / 'KNOWN-RED.txt'
 TEST_PREFIX = '- test: '
 
