Start background jobs again after unexpected errors

Found by reading: a daemon's background jobs were tasks that nobody awaits. An unexpected error in one, as by a table of members that cannot be applied, ended it without a line in the log; the daemon went on without its watch, debits or registrations, and refused all calls once its document was out of date. The version of the table also counted as known before it was applied, so it would not have come again.

Change: jobs are started again after an error, which is logged as internal_error with its place; that holds for the jobs of daemons, residents, links and listeners. A table that cannot be applied does not keep the document or the other tables from being applied, and is asked for again.

--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -6,6 +6,7 @@
 from cactusloftd import _control
 from cactusloftd import _control_hosts
 from cactusloftd import _installed
+from cactusloftd import _jobs
 from cactusloftd import _messages
 from cactusloftd import _operators
 from cactusloftd import _texts
@@ -34,6 +35,7 @@
             log, now, is_control_host
         )
         self._node = node
+        self._log = log
         self._parser = parser or _texts.TextParser()
         self._task = None
         self._control = None
@@ -108,7 +110,7 @@
         self._operators.start()
         if self._control is not None:
             self._control.start()
-        self._task = asyncio.create_task(self.watcher.run())
+        self._task = _jobs.start_job(self.watcher.run, self._log)
 
     async def close(self):
         """Stop the watch and the replica."""
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -10,6 +10,7 @@
 from cactusloftd import _control
 from cactusloftd import _control_hosts
 from cactusloftd import _installed
+from cactusloftd import _internal_errors
 from cactusloftd import _messages
 
 HOLD_TIME_S = 1.0
@@ -186,9 +187,15 @@
         is_recent = self._apply_answer(reply.unwrap(), sent_at, base)
         answer = reply.unwrap()
         has_group = answer.group in (None, self.group)
-        if answer.version > self._installed.version.number or not has_group:
-            # The answer's confirmation was too old, or its document is invalid
-            # here. The control host would answer the next poll at once.
+        has_tables = all(
+            self._known_versions.get(table.name) == table.version
+            for table in answer.tables
+        )
+        is_outdated = answer.version > self._installed.version.number
+        if is_outdated or not has_group or not has_tables:
+            # The answer's confirmation was too old, or its document or a table
+            # is invalid here. The control host would answer the next poll at
+            # once.
             await asyncio.sleep(RETRY_DELAY_S)
         return is_recent
 
@@ -213,8 +220,7 @@
     def _apply_answer(self, answer, sent_at, base):
         """Apply an answer; tell whether its confirmation is recent."""
         for table in answer.tables:
-            self._known_versions[table.name] = table.version
-            self._tables[table.name][1](table.content)
+            self._apply_table(table)
         if answer.age_s is None:
             # A document from a file needs no confirmation.
             return self._has_fixed_document
@@ -231,6 +237,21 @@
         self._install(version, confirmed_at, lambda: _patch(base, answer))
         return self._now() - confirmed_at < MAX_HOME_AGE_S
 
+    def _apply_table(self, table):
+        """Apply a table; its version stays unknown if that fails.
+
+        The document and the other tables are applied all the same. The control
+        host sends the table again.
+        """
+        _, apply = self._tables[table.name]
+        try:
+            apply(table.content)
+        except Exception as error:
+            self._known_versions.pop(table.name, None)
+            _internal_errors.record_error(self._log, error)
+            return
+        self._known_versions[table.name] = table.version
+
     def _update_group_from_replica(self, replica):
         known = self.group.epoch, self.group.leader
         if known != (replica.membership.version, replica.leader_id):
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -29,6 +29,7 @@
 from cactusloftd import _group
 from cactusloftd import _guards
 from cactusloftd import _http_server
+from cactusloftd import _jobs
 from cactusloftd import _leadership
 from cactusloftd import _ledger_messages
 from cactusloftd import _link_events
@@ -202,13 +203,16 @@
         await self._start()
         self._log.record(_V.DAEMON_STARTED, incarnation=self._incarnation)
         tasks = [
-            asyncio.create_task(self._keep_registered()),
-            asyncio.create_task(self._guards.marks.run()),
-            asyncio.create_task(self._allocators.run()),
-            asyncio.create_task(self._reservations.run_member()),
+            _jobs.start_job(run, self._log)
+            for run in (
+                self._keep_registered,
+                self._guards.marks.run,
+                self._allocators.run,
+                self._reservations.run_member,
+            )
         ]
         if self._is_control_host:
-            tasks.append(asyncio.create_task(self._registrations.run()))
+            tasks.append(_jobs.start_job(self._registrations.run, self._log))
         await stop.wait()
         self._log.record(_V.DAEMON_STOPPING)
         await self._shut_down()
--- a/daemon/src/cactusloftd/resident/_http_listener.py
+++ b/daemon/src/cactusloftd/resident/_http_listener.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-import pathlib
-import traceback
 
 from cactusloft_model import events
+from cactusloftd import _internal_errors
+from cactusloftd import _jobs
 from cactusloftd.resident import _http_connection
 
 # Bounds memory: an idle connection costs a few KiB.
@@ -57,7 +57,9 @@
             backlog=BACKLOG,
         )
         self.port = self._server.sockets[0].getsockname()[1]
-        self._expiry_task = loop.create_task(self._expire_connections())
+        self._expiry_task = _jobs.start_job(
+            self._expire_connections, self._log
+        )
 
     def stop_listening(self):
         """Refuse new connections; existing ones continue."""
@@ -104,12 +106,8 @@
         self._log.record(_V.REQUEST_MALFORMED, detail=detail)
 
     def log_internal_error(self, error):
-        """Log the place of an internal error, without data of clients."""
-        frame = traceback.extract_tb(error.__traceback__)[-1]
-        place = f'{pathlib.Path(frame.filename).name}:{frame.lineno}'
-        self._log.record(
-            _V.INTERNAL_ERROR, error=type(error).__name__, place=place
-        )
+        """Log an error in the handling of a request."""
+        _internal_errors.record_error(self._log, error)
 
     async def _expire_connections(self):
         while True:
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -21,6 +21,7 @@
 from cactusloftd import _control_plane
 from cactusloftd import _exchanges
 from cactusloftd import _group
+from cactusloftd import _jobs
 from cactusloftd import _leadership
 from cactusloftd import _link_events
 from cactusloftd import _mark_relay
@@ -174,17 +175,17 @@
                 self.log,
             )
             jobs += [
-                entry.run(),
-                self._registrations.run(),
-                self._buckets.run(),
+                entry.run,
+                self._registrations.run,
+                self._buckets.run,
             ]
         if self._host_context.backend_server:
             jobs += [
-                self._report_registration(),
-                self._marks.run(),
-                self._debits.run(),
+                self._report_registration,
+                self._marks.run,
+                self._debits.run,
             ]
-        self._tasks = [asyncio.create_task(job) for job in jobs]
+        self._tasks = [_jobs.start_job(job, self.log) for job in jobs]
         self.log.record(
             _V.DAEMON_STARTED,
             host=self._settings.host,
--- a/daemon/tests/test_watch.py
+++ b/daemon/tests/test_watch.py
@@ -150,3 +150,24 @@
     before = len(fleet.far.watches)
     asyncio.run(_run_until(watcher, lambda: len(fleet.far.watches) > before))
     assert fleet.far.watches[before].tables[0].known == 0
+
+
+def test_table_that_cannot_be_applied_ends_the_watch(fleet, make_watcher):
+    """The document is installed, and the table is asked for again."""
+    contents = []
+
+    def apply(content):
+        contents.append(content)
+        if len(contents) < 3:
+            raise KeyError('unexpected')
+
+    table = _messages.Table('members', 7, b'content')
+    fleet.near.answer = _make_answer(version=2, tables=(table,))
+    watcher = make_watcher('d1')
+    watcher.attach('members', lambda: b'', apply)
+    asyncio.run(_run_until(watcher, lambda: len(fleet.near.watches) > 4))
+    assert watcher._installed.version.number == 2
+    known = [
+        report.known for watch in fleet.near.watches for report in watch.tables
+    ]
+    assert known[:5] == [0, 0, 0, 7, 7]
--- a/libs/link/src/cactusloft_link/__init__.py
+++ b/libs/link/src/cactusloft_link/__init__.py
@@ -1,5 +1,6 @@
 """Links between daemons: requests and flow-controlled streams."""
 
+from cactusloft_link._background import keep_running
 from cactusloft_link._codec import Codec
 from cactusloft_link._codec import Frame
 from cactusloft_link._codec import FrameType
@@ -34,6 +35,7 @@
     'StreamLostError',
     'Wakeup',
     'Z85_KEY_CHARACTERS',
+    'keep_running',
     'limit',
     'make_key_pair',
 ]
--- a/libs/link/src/cactusloft_link/_listener.py
+++ b/libs/link/src/cactusloft_link/_listener.py
@@ -65,14 +65,14 @@
     def start(self, socket):
         """Handle the frames received on a bound ROUTER socket."""
         self._socket = _socket.LoopSocket(socket, self._handle_parts)
-        self._node.spawn(self._sweep())
+        self._node.start_job(self._sweep)
 
     def start_plain(self, endpoint):
         """Accept unencrypted connections at ``endpoint``; return the port."""
         self._socket = _plain.PlainRouter(
             self._handle_parts, self._handle_lost
         )
-        self._node.spawn(self._sweep())
+        self._node.start_job(self._sweep)
         return self._socket.listen(endpoint)
 
     def close(self):
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -16,6 +16,7 @@
 import zmq
 import zmq.auth.asyncio
 
+from cactusloft_link import _background
 from cactusloft_link import _codec
 from cactusloft_link import _errors
 from cactusloft_link import _immediate
@@ -141,7 +142,7 @@
             link = self._links[address] = Link(self, address)
             link.start()
             if self._keep_alive_task is None:
-                self._keep_alive_task = self.spawn(self._keep_links_alive())
+                self._keep_alive_task = self.start_job(self._keep_links_alive)
         return link
 
     def disconnect(self, address):
@@ -189,6 +190,13 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def start_job(self, run):
+        """Run a job until the node closes, also after unexpected errors.
+
+        :param run: coroutine function of the job.
+        """
+        return self.spawn(_background.keep_running(run, self._report_failure))
+
     def start(self, coroutine):
         """Run a coroutine at once; cancel it when the node closes."""
         task = _immediate.ImmediateTask(coroutine, self._report_failure)
