Bound the memory that slow readers of large responses occupy

Cause: for each such response the owner held up to two reads of 256 KB, the stream between owner and entry 256 KB and a message of any size, and the entry's connection 64 KB.

Change: an owner reads on once the body has been passed on, in parts of 16 KB; a stream has a window of 48 KB; a connection takes 16 KB before its writer waits. Responses up to 64 KB are passed on in one message as before.

--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -11,7 +11,8 @@
 from cactusloftd import _messages
 
 _E = errors.ErrorKind
-CHUNK_BYTES = 64 * 1024
+# Payload of one message of a body.
+CHUNK_BYTES = 16 * 1024
 # A new connection takes a few round trips for the key exchange.
 CONNECT_TIMEOUT_S = 0.3
 OWNER_LOST = 'owner was lost'
@@ -207,12 +208,19 @@
     if is_small:
         stream.finish()
         return
-    async for chunk in chunks:
-        await stream.send(_messages.BodyChunk(False), chunk)
+    async for data in chunks:
+        for chunk in _split(data):
+            await stream.send(_messages.BodyChunk(False), chunk)
     await stream.send(_messages.BodyChunk(True))
     await stream.wait_closed()
 
 
+def _split(data):
+    """Yield the chunks of data that may have any size."""
+    for start in range(0, len(data), CHUNK_BYTES):
+        yield data[start : start + CHUNK_BYTES]
+
+
 def _convert_reply(stream, frame):
     message = frame.message
     if isinstance(message, _messages.Refusal):
--- a/daemon/src/cactusloftd/resident/_exchange.py
+++ b/daemon/src/cactusloftd/resident/_exchange.py
@@ -16,8 +16,10 @@
 # A response up to this size is buffered before any of it is forwarded, so that
 # the call can still be retried if the response is truncated.
 MAX_BUFFERED_BYTES = 64 * 1024
-# Reading from the socket is paused above this size.
-MAX_UNREAD_BYTES = 256 * 1024
+# Reading from the socket is paused above this size, until all is read.
+MAX_UNREAD_BYTES = 64 * 1024
+# Size of the parts in which a body is read.
+CHUNK_BYTES = 16 * 1024
 # Attempt ids that a connection remembers.
 MAX_KEPT_IDS = 16
 # Declined attempts after which a connection is not used again. Until then it
@@ -165,9 +167,10 @@
         response = self._response
         while True:
             if response.body:
-                chunk = bytes(response.body)
-                response.body.clear()
-                self._resume_reading()
+                chunk = bytes(response.body[:CHUNK_BYTES])
+                del response.body[:CHUNK_BYTES]
+                if not response.body:
+                    self._resume_reading()
                 yield chunk
             elif response.is_complete:
                 return
--- a/daemon/src/cactusloftd/resident/_http_connection.py
+++ b/daemon/src/cactusloftd/resident/_http_connection.py
@@ -30,6 +30,9 @@
 IDLE_TIMEOUT_S = 75.0
 # Limits how long a slow or stalled sender occupies a connection.
 RECEIVE_TIMEOUT_S = 20.0
+# Bytes of a response that wait for a client that reads slowly. The responses
+# of hundreds of such clients have to fit into the memory.
+MAX_UNSENT_BYTES = 16 * 1024
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _BODILESS = (204, 304)
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
@@ -70,6 +73,7 @@
     def connection_made(self, transport):
         """Store the transport; called by the event loop."""
         self._transport = transport
+        transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         if not self._listener.add(self):
             transport.abort()
 
--- a/daemon/tests/resident/test_malformed_bytes.py
+++ b/daemon/tests/resident/test_malformed_bytes.py
@@ -90,6 +90,9 @@
 
     resume_reading = pause_reading
 
+    def set_write_buffer_limits(self, high):
+        """Do nothing; nothing is buffered."""
+
 
 async def send_to_listener(parts):
     """Send bytes as a client; return transport, handler and log lines."""
--- a/libs/link/src/cactusloft_link/_streams.py
+++ b/libs/link/src/cactusloft_link/_streams.py
@@ -11,8 +11,10 @@
 from cactusloft_link import _errors
 from cactusloft_link import _immediate
 
-WINDOW_BYTES = 256 * 1024
-CREDIT_BATCH_BYTES = 64 * 1024
+# A receiver may hold this much, and one more message, for each stream whose
+# reader is slow. It is more than a link of 60 Mbit/s carries in a round trip.
+WINDOW_BYTES = 48 * 1024
+CREDIT_BATCH_BYTES = 12 * 1024
 
 
 class Stream:
