Tell restarted control hosts of recent departures

Change: a daemon's report names the processes that it lately knew to leave, 32 at most, of the last 30 s; control hosts record them and correct what they have stored.

Evidence: test_restarted_control_hosts_believe_a_restarted_owner; the interface is new, so it cannot fail on the code before.

--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -101,7 +101,10 @@
         registration = self._make_registration()
         self._reported_sequence = registration.sequence
         report = _messages.MembersReport(
-            registration, services, not self._is_settled
+            registration,
+            services,
+            not self._is_settled,
+            tuple(self._view.list_recent_departures(self._now())),
         )
         return msgspec.msgpack.encode(report)
 
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -156,11 +156,14 @@
     :ivar services: services whose members the daemon asks for.
     :ivar takes_part: whether the daemon accepts an incomplete list of members,
         as it does right after its start.
+    :ivar departures: processes of backend servers that the daemon lately knew
+        to leave.
     """
 
     registration: registry.Registration
     services: tuple[str, ...]
     takes_part: bool = False
+    departures: tuple[registry.BackendProcess, ...] = ()
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_registrations.py
+++ b/daemon/src/cactusloftd/_registrations.py
@@ -72,6 +72,8 @@
         report = self._read_report(daemon, request.content)
         now = self._now()
         self._registry.expire(now)
+        for process in report.departures:
+            self._registry.record_departure(process, now)
         # A daemon that knows no version has just moved to this home.
         self._registry.register(
             report.registration, now, has_changed_home=not request.known
--- a/libs/membership/src/cactusloft_membership/_departures.py
+++ b/libs/membership/src/cactusloft_membership/_departures.py
@@ -6,11 +6,16 @@
 """
 
 import collections
+import itertools
 
 import attrs
 
 # Bounds the memory; the oldest departures are forgotten first.
 MAX_KEPT_DEPARTURES = 4096
+# Departures of this time are told to control hosts, which may have restarted.
+# A process that has left ends within seconds.
+RECENT_S = 30.0
+MAX_RECENT_DEPARTURES = 32
 
 
 @attrs.frozen
@@ -32,12 +37,30 @@
     def __init__(self):
         self._processes = collections.OrderedDict()
 
-    def record(self, process):
-        """Record the departure of a :class:`BackendProcess`."""
-        self._processes[process] = None
-        self._processes.move_to_end(process)
+    def record(self, process, now):
+        """Record the departure of a :class:`BackendProcess`.
+
+        :param now: monotonic seconds.
+        :returns: whether it was unknown.
+        """
+        if process in self._processes:
+            return False
+        self._processes[process] = now
         if len(self._processes) > MAX_KEPT_DEPARTURES:
             self._processes.popitem(last=False)
+        return True
+
+    def list_recent(self, now):
+        """Return the processes whose departure was learnt recently.
+
+        :param now: monotonic seconds.
+        """
+        newest_first = itertools.takewhile(
+            lambda item: now - item[1] < RECENT_S,
+            reversed(self._processes.items()),
+        )
+        newest = itertools.islice(newest_first, MAX_RECENT_DEPARTURES)
+        return [process for process, _ in newest]
 
     def has_left(self, process):
         """Tell whether the departure of a process is known."""
--- a/libs/membership/src/cactusloft_membership/_registry.py
+++ b/libs/membership/src/cactusloft_membership/_registry.py
@@ -113,7 +113,10 @@
             return False
         lifetime_s = min(lifetime_s, REGISTRATION_LEASE_S)
         self._store(
-            known, _Entry(registration, now + lifetime_s), has_changed_home
+            known,
+            _Entry(registration, now + lifetime_s),
+            now,
+            has_changed_home,
         )
         return True
 
@@ -134,7 +137,7 @@
                 return
             if position == registration.position and not is_repeat:
                 return
-        self._store(known, _Entry(registration, float('inf'), home))
+        self._store(known, _Entry(registration, float('inf'), home), now)
 
     def remove_copy(self, home, name, now):
         """Remove a daemon that left its home, unless it has a new home."""
@@ -163,6 +166,25 @@
         """
         return self._departures.has_left(process)
 
+    def record_departure(self, process, now):
+        """Record that a backend server's process has left.
+
+        Registrations of it that are already stored are corrected: a daemon or
+        a home that has not heard of the departure may have sent them.
+
+        :param process: :class:`BackendProcess`.
+        :param now: monotonic seconds.
+        """
+        if not self._departures.record(process, now):
+            return
+        for entry in self._entries.values():
+            known = entry.registration
+            if known.process == process and not known.is_leaving:
+                entry.registration = known.mark_leaving()
+                self._record_change(known)
+                if not entry.home:
+                    self.on_local_change(known.name)
+
     def list_local_registrations(self):
         """Return the registrations of the daemons at this home."""
         entries = self._by_home.get('', {}).values()
@@ -214,11 +236,11 @@
             return None
         return known
 
-    def _store(self, known, entry, has_changed_home=False):
+    def _store(self, known, entry, now, has_changed_home=False):
         """Store ``entry`` in place of ``known`` and record the change."""
         registration = entry.registration
         if registration.is_leaving:
-            self._record_departure(registration)
+            self.record_departure(registration.process, now)
         elif self._departures.has_left(registration.process):
             registration = entry.registration = registration.mark_leaving()
         self._replace(entry)
@@ -235,24 +257,6 @@
         if was_local != is_local or (is_local and has_changed):
             self.on_local_change(registration.name)
 
-    def _record_departure(self, registration):
-        """Correct registrations of the process that are already stored.
-
-        A home that has not heard of the departure may have sent one.
-        """
-        process = registration.process
-        if self._departures.has_left(process):
-            return
-        self._departures.record(process)
-        entries = self._by_service.get(registration.service, {})
-        for entry in list(entries.values()):
-            known = entry.registration
-            if known.process == process and not known.is_leaving:
-                entry.registration = known.mark_leaving()
-                self._record_change(known)
-                if not entry.home:
-                    self.on_local_change(known.name)
-
     def _replace(self, entry):
         """Index ``entry`` in place of the previous one of its daemon."""
         name = entry.registration.name
--- a/libs/membership/src/cactusloft_membership/_view.py
+++ b/libs/membership/src/cactusloft_membership/_view.py
@@ -57,7 +57,7 @@
         members = list(members)
         for member in members:
             if member.is_leaving:
-                self._departures.record(member.process)
+                self._departures.record(member.process, now)
         for service in set(services) & set(self._last_used_at):
             serving = [
                 member
@@ -77,14 +77,20 @@
 
         :param now: monotonic seconds.
         """
-        if self._departures.has_left(process):
+        if not self._departures.record(process, now):
             return
-        self._departures.record(process)
         for chooser in self._choosers.values():
             remaining = [m for m in chooser.members if m.process != process]
             if len(remaining) < len(chooser.members):
                 chooser.update(remaining, now)
 
+    def list_recent_departures(self, now):
+        """Return the processes that were lately known to leave.
+
+        :param now: monotonic seconds.
+        """
+        return self._departures.list_recent(now)
+
     def find_chooser(self, service):
         """Return the :class:`Chooser` of a service; create it on first use."""
         chooser = self._choosers.get(service)
--- a/libs/membership/tests/test_departures.py
+++ b/libs/membership/tests/test_departures.py
@@ -107,6 +107,37 @@
     assert changed == ['m2']
 
 
+def test_restarted_control_hosts_believe_a_restarted_owner():
+    """The hosts that stayed up tell them of the departure."""
+    view = make_view()
+    process = registry.BackendProcess('i-1', 100)
+    view.record_departure(process, 10.0)
+    known = registry.Registry()
+    known.register(make_member('m1', incarnation=2), 20.0)
+    (member,) = known.list_members(['stock'], 20.0)
+    assert member.is_serving
+    for departed in view.list_recent_departures(20.0):
+        known.record_departure(departed, 20.1)
+    (member,) = known.list_members(['stock'], 20.2)
+    assert not member.is_serving
+    assert view.list_recent_departures(50.0) == []
+
+
+def test_reports_grow_with_the_departures_of_a_day():
+    """Only the newest are told, the newest first."""
+    departures = _departures.Departures()
+    for number in range(100):
+        process = registry.BackendProcess(f'i-{number}', number)
+        departures.record(process, float(number))
+    recent = [process.born_ms for process in departures.list_recent(100.0)]
+    assert recent == list(range(99, 70, -1))
+    many = _departures.Departures()
+    for number in range(100):
+        many.record(registry.BackendProcess(f'i-{number}', number), 0.0)
+    most = _departures.MAX_RECENT_DEPARTURES
+    assert len(many.list_recent(1.0)) == most
+
+
 def test_stopping_daemon_is_taken_for_a_leaving_backend_server():
     """The backend server of a stopped daemon serves again after its start."""
     view = make_view()
@@ -121,6 +152,6 @@
     count = _departures.MAX_KEPT_DEPARTURES + 10
     processes = [registry.BackendProcess(f'i-{n}', n) for n in range(count)]
     for process in processes:
-        departures.record(process)
+        departures.record(process, 0.0)
     known = [departures.has_left(process) for process in processes]
     assert known == [False] * 10 + [True] * (count - 10)
