--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -290,6 +290,7 @@
             in_flight=admission.in_flight,
             queued=admission.queued,
             limit=admission.compute_limit(),
+            rate_limit=admission.rate_limit,
             service_ms=round(self._times.mean_s * 1000),
         )
         return _calls.fail(_E.OVERLOADED, NO_SLOT)
