Report the load of an owner that waits for the first response

Found by reading the limit again: until the first response of its backend server an owner starts two calls, but it reported its load as if all slots could be used. Entries would send it more calls, which only wait, as long as the first two take or if their connections went silent.

Change: the load is that of the calls that may start.

Evidence: test_owner_without_a_response_yet_looks_empty fails before (0.5 instead of 1.0).

--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -107,16 +107,18 @@
     def load(self):
         """Return the number of held calls per slot.
 
-        A backend server that names a rate limit can use as many slots as the
-        limit times its service time.
+        Until its first response, a backend server gets only a few calls. One
+        that names a rate limit can use as many slots as the limit times its
+        service time.
         """
         if self._gate is None:
             return 0.0
-        slots = self._state.heartbeat.slots
-        rate_limit = self._gate.admission.rate_limit
-        if rate_limit is None:
-            return self.held / max(1, slots)
-        slots = min(slots, rate_limit * self._times.mean_s)
+        admission = self._gate.admission
+        slots = max(1, self._state.heartbeat.slots)
+        slots = min(slots, admission.first_calls or slots)
+        if admission.rate_limit is None:
+            return self.held / slots
+        slots = min(slots, admission.rate_limit * self._times.mean_s)
         load = self.held / max(1.0, slots)
         return load if self._gate.has_capacity else max(1.0, load)
 
--- a/daemon/tests/resident/test_owner.py
+++ b/daemon/tests/resident/test_owner.py
@@ -213,3 +213,28 @@
             return bench.owner.is_serving, bench.owner.rate_limit
 
     assert asyncio.run(run()) == (True, None)
+
+
+def test_owner_without_a_response_yet_looks_empty():
+    """Entries would send it calls that only wait for the first response."""
+
+    async def run():
+        async with Bench() as bench:
+            tasks = [
+                asyncio.create_task(bench.run(f'a{number}'))
+                for number in range(2)
+            ]
+            await bench.backend_server.started.wait()
+            load_before = bench.owner.load
+            bench.backend_server.release.set()
+            await asyncio.gather(*tasks)
+            bench.backend_server.release.clear()
+            bench.backend_server.started.clear()
+            task = asyncio.create_task(bench.run('b1'))
+            await bench.backend_server.started.wait()
+            load_after = bench.owner.load
+            bench.backend_server.release.set()
+            await task
+            return load_before, load_after
+
+    assert asyncio.run(run()) == (1.0, 1 / HEARTBEAT.slots)
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -80,13 +80,22 @@
         """Return the calls per second that may start, None for no limit."""
         return self._rate.rate
 
+    @property
+    def first_calls(self):
+        """Return how many calls may be in flight until the first response.
+
+        None once it has arrived, or if the policy does not wait for it.
+        """
+        if not self._policy.awaits_first_response:
+            return None
+        return self._rate.max_in_flight
+
     def compute_limit(self):
         """Return how many calls may be in flight at present."""
         now = self._read_clock()
         cap = self._reports.compute_cap(now)
         cap = max(1, int(cap * self._ramp.compute_share(now)))
-        if self._policy.awaits_first_response:
-            cap = min(cap, self._rate.max_in_flight or cap)
+        cap = min(cap, self.first_calls or cap)
         if not self._policy.adaptive_limit:
             return cap
         return min(cap, self._limit.value)
