Start queued calls as soon as a raised limit allows it

Found by reading the diff: the timer for the next queued call was kept when the backend server named a higher limit, so calls waited for as long as the former one demanded, up to 2 s, or were refused although the limit had room.

Change: the timer is moved up when the next call may start earlier.

Evidence: test_raised_limit_starts_queued_calls_at_the_former_one fails before (refused with "no slot in time").

--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -91,14 +91,17 @@
 
     def _schedule_start(self):
         """Start the next queued call when the rate limit allows it."""
-        if self._timer is not None:
-            return
         delay_s = self.admission.compute_start_delay()
-        if delay_s is not None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(
-                max(MIN_DELAY_S, delay_s), self._start_queued
-            )
+        if delay_s is None:
+            return
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + max(MIN_DELAY_S, delay_s)
+        if self._timer is not None:
+            if self._timer.when() <= due_at + MIN_DELAY_S:
+                return
+            # The limit has been raised since.
+            self._timer.cancel()
+        self._timer = loop.call_at(due_at, self._start_queued)
 
     def _start_queued(self):
         self._timer = None
--- a/daemon/tests/resident/test_owner.py
+++ b/daemon/tests/resident/test_owner.py
@@ -172,6 +172,27 @@
     assert all(map(pipeline.is_successful, asyncio.run(run())))
 
 
+def test_raised_limit_starts_queued_calls_at_the_former_one():
+    """At 0.5 calls per second, the next call would start 2 s later."""
+
+    async def run():
+        async with Bench('Limit: 0.5') as bench:
+            await bench.answer('a1')
+            bench.backend_server.release.clear()
+            bench.backend_server.started.clear()
+            running = asyncio.create_task(bench.run('a2'))
+            await bench.backend_server.started.wait()
+            # May wait for 0.35 times its patience.
+            queued = asyncio.create_task(bench.run('a3', patience_s=4.0))
+            await asyncio.sleep(0)
+            bench.backend_server.headers[:] = ['Limit: 50']
+            bench.backend_server.release.set()
+            await running
+            return await queued
+
+    assert pipeline.is_successful(asyncio.run(run()))
+
+
 def test_response_of_a_leaving_process_is_ignored():
     """New calls stop at once, and the entry is told which process leaves."""
 
