Keep a drain when the daemon beside the backend server restarts

The same cause as with departures on the users' platform, looked for in the product's own daemons: an operator or a backend server drained it, its daemon was restarted, and the next announcement of the same process counted as that of a new one. All hosts sent it calls again.

Also found: control hosts ignored a departure in a registration that was older than that of the restarted daemon.

Change: daemons report a drain as a departure, and drain again when the home remembers one. The daemon's name is a part of a process's identity, as backend servers number their processes without each other. A stop of the daemon is no drain. Departures are recorded before the order of registrations is looked at.

Evidence: test_restarted_daemon_forgets_a_drain and test_departure_that_arrives_after_the_restart_is_ignored fail before.

--- a/daemon/src/cactusloftd/_owner.py
+++ b/daemon/src/cactusloftd/_owner.py
@@ -47,6 +47,7 @@
         self._gate = None
         self._runs = {}
         self._loss_id = ''
+        self._is_stopping = False
         self.on_change = lambda: None
 
     @property
@@ -57,7 +58,12 @@
     @property
     def is_serving(self):
         """Return whether the backend server accepts new calls."""
-        return self._server.is_serving(self._now())
+        return not self._is_stopping and self._server.is_serving(self._now())
+
+    @property
+    def is_leaving(self):
+        """Return whether the backend server is being drained."""
+        return self._server.is_draining(self._now())
 
     @property
     def in_flight(self):
@@ -149,6 +155,20 @@
             self._log.record(events.Event.BACKEND_SERVER_DRAINING)
             self.on_change()
 
+    def handle_departure(self, process):
+        """Apply a drain that other daemons remember.
+
+        :param process: :class:`registry.BackendProcess`.
+        """
+        announcement = self.announcement
+        if announcement and announcement.instance == process.instance:
+            self.drain()
+
+    def stop(self):
+        """Accept no new calls, as this daemon stops."""
+        self._is_stopping = True
+        self.on_change()
+
     def leave(self):
         """Remove the backend server at its own request."""
         if self._server.leave():
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -139,6 +139,7 @@
         """
         plane, members = self._plane, self._members
         members.on_report_due = self._report_due.set
+        members.on_departure = self._owner.handle_departure
         members.find_home = plane.watcher.find_home
         self._registrations.on_change = self._handle_member_change
         self._mark_relay.on_change = plane.server.notify
@@ -298,7 +299,7 @@
         """
         self._exchanges.is_closing = True
         if self._owner.is_serving:
-            self._owner.drain()
+            self._owner.stop()
             await self._members.report_now()
         deadline = time.monotonic() + self._settings.shutdown_grace_s
         while time.monotonic() < deadline and self._is_busy():
@@ -373,6 +374,7 @@
             instance=announcement.instance if announcement else '',
             slots=announcement.slots if announcement else 0,
             is_serving=self._owner.is_serving,
+            is_leaving=self._owner.is_leaving,
         )
 
 
--- a/daemon/src/cactusloftd/resident/_backend_server.py
+++ b/daemon/src/cactusloftd/resident/_backend_server.py
@@ -16,12 +16,14 @@
 class BackendServerState:
     """State of the backend server process with the newest heartbeat.
 
+    :ivar daemon: name of the daemon beside it.
     :ivar heartbeat: the newest :class:`protocol.Heartbeat`, or None.
     :ivar heard_at: monotonic time in seconds at which it arrived.
     :ivar has_left: whether the process will never accept new calls again.
     :ivar is_unreachable: whether a connection was refused since then.
     """
 
+    daemon: str = ''
     heartbeat: object = None
     heard_at: float = float('-inf')
     has_left: bool = False
@@ -33,7 +35,7 @@
         if self.heartbeat is None:
             return None
         return registry.BackendProcess(
-            self.heartbeat.instance, self.heartbeat.born_ms
+            self.daemon, self.heartbeat.instance, self.heartbeat.born_ms
         )
 
     def apply_heartbeat(self, heartbeat, now):
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -48,6 +48,7 @@
 class Owner:
     """Admit calls to the backend server and deliver them.
 
+    :param name: name of this daemon.
     :param address: ``IP:port`` of the backend server.
     :param protocol: :class:`protocol.BackendProtocol`.
     :param config: :class:`_config.Config`.
@@ -58,7 +59,9 @@
     :ivar on_change: function called when the registration has changed.
     """
 
-    def __init__(self, address, protocol, config, marks, log, metrics, now):
+    def __init__(
+        self, name, address, protocol, config, marks, log, metrics, now
+    ):
         self._address = address
         self._protocol = protocol
         self._config = config
@@ -66,7 +69,7 @@
         self._log = log
         self._metrics = metrics
         self._now = now
-        self._state = _backend_server.BackendServerState()
+        self._state = _backend_server.BackendServerState(name)
         self._delivery = None
         self._gate = None
         self._losses = collections.deque()
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -315,6 +315,7 @@
         if not self._host_context.backend_server:
             return
         self._owner = _owner.Owner(
+            self._settings.name,
             self._host_context.backend_server,
             backend_protocol,
             plane.installed,
--- a/daemon/tests/resident/test_owner.py
+++ b/daemon/tests/resident/test_owner.py
@@ -83,6 +83,7 @@
             check=lambda name: result.Success(None), make_loss_id=lambda: 'l'
         )
         self.owner = _owner.Owner(
+            'here',
             f'127.0.0.1:{port}',
             Protocol(),
             stubs.Config(),
@@ -204,7 +205,9 @@
             return response, refused, bench.owner, bench.changes
 
     response, refused, owner, changes = asyncio.run(run())
-    assert response.leaving_process == registry.BackendProcess('i-1', 100)
+    assert response.leaving_process == registry.BackendProcess(
+        'here', 'i-1', 100
+    )
     assert refused.failure().kind is errors.ErrorKind.NO_BACKEND_SERVER
     # A late heartbeat as ready does not revoke the departure.
     assert owner.is_leaving and not owner.is_serving
--- a/daemon/tests/test_membership_failures.py
+++ b/daemon/tests/test_membership_failures.py
@@ -6,6 +6,7 @@
 import json
 import re
 import threading
+import time
 
 import pytest
 
@@ -139,6 +140,30 @@
     wait(lambda: _call(entry) == 200)
 
 
+def test_restarted_daemon_forgets_a_drain(make_fleet, wait, serve):
+    """Neither its own callers nor others must reach the drained server."""
+    fleet = _start_two_homes(make_fleet)
+    owner, entry = fleet.plain
+    assert fleet.replicas[0].apply(0, 'first', DOCUMENT)[0] == 200
+    server = serve(owner)
+    wait(lambda: _call(entry) == 200)
+    server.post('/v1/drain')
+    wait(lambda: _count_members(entry) == 0)
+    owner.kill()
+    owner.start()
+    wait(lambda: owner.read_status().get('is_fresh'))
+    # Its backend server has announced itself again.
+    wait(lambda: _count_events(owner, events.Event.BACKEND_SERVER_ANNOUNCED))
+    wait(lambda: _call(owner) != 200)
+    for _ in range(20):
+        assert _call(owner) != 200
+        assert _call(entry) != 200
+        time.sleep(ANNOUNCE_INTERVAL_S / 10)
+    server.instance = 'second'
+    wait(lambda: _call(entry) == 200)
+    wait(lambda: _call(owner) == 200)
+
+
 @pytest.mark.parametrize('fault', ['kill', 'freeze'])
 def test_members_are_current_without_a_control_host(
     make_fleet, wait, serve, fault
--- a/libs/membership/src/cactusloft_membership/_announcements.py
+++ b/libs/membership/src/cactusloft_membership/_announcements.py
@@ -97,6 +97,10 @@
         self.stop_new_work()
         return True
 
+    def is_draining(self, now):
+        """Tell whether the backend server gets no new work any more."""
+        return self.state is State.DRAINING and now < self._lease_expires_at
+
     def leave(self):
         """Remove the backend server; return whether there was one."""
         was_present = self.state is not State.ABSENT
--- a/libs/membership/src/cactusloft_membership/_departures.py
+++ b/libs/membership/src/cactusloft_membership/_departures.py
@@ -22,11 +22,14 @@
 class BackendProcess:
     """One process of a backend server.
 
-    :ivar instance: identity, which a later process may use again.
+    :ivar daemon: name of the daemon beside it.
+    :ivar instance: identity, which another backend server or a later process
+        may use as well.
     :ivar born_ms: wall clock time in milliseconds at which it started, 0 if
         unknown.
     """
 
+    daemon: str
     instance: str
     born_ms: int = 0
 
--- a/libs/membership/src/cactusloft_membership/_registrations.py
+++ b/libs/membership/src/cactusloft_membership/_registrations.py
@@ -52,7 +52,9 @@
     @property
     def process(self):
         """Return the :class:`BackendProcess` of the backend server."""
-        return _departures.BackendProcess(self.instance, self.born_ms)
+        return _departures.BackendProcess(
+            self.name, self.instance, self.born_ms
+        )
 
     def mark_leaving(self):
         """Return the registration of a process that has left."""
--- a/libs/membership/src/cactusloft_membership/_registry.py
+++ b/libs/membership/src/cactusloft_membership/_registry.py
@@ -106,6 +106,7 @@
         :returns: whether the registration was stored; False if it is not newer
             than the known one or has expired.
         """
+        self._learn_departure(registration, now)
         known = self._find_known(registration.name, now)
         if known and known.registration.position >= registration.position:
             return False
@@ -113,10 +114,7 @@
             return False
         lifetime_s = min(lifetime_s, REGISTRATION_LEASE_S)
         self._store(
-            known,
-            _Entry(registration, now + lifetime_s),
-            now,
-            has_changed_home,
+            known, _Entry(registration, now + lifetime_s), has_changed_home
         )
         return True
 
@@ -127,6 +125,7 @@
         :param registration: :class:`Registration`.
         :param now: monotonic seconds.
         """
+        self._learn_departure(registration, now)
         known = self._find_known(registration.name, now)
         if known is not None:
             position = known.registration.position
@@ -137,7 +136,7 @@
                 return
             if position == registration.position and not is_repeat:
                 return
-        self._store(known, _Entry(registration, float('inf'), home), now)
+        self._store(known, _Entry(registration, float('inf'), home))
 
     def remove_copy(self, home, name, now):
         """Remove a daemon that left its home, unless it has a new home."""
@@ -230,18 +229,21 @@
         """Return a number that increases when ``services`` change members."""
         return sum(self._revisions[service] for service in set(services))
 
+    def _learn_departure(self, registration, now):
+        """Record a departure, also from an outdated registration."""
+        if registration.is_leaving:
+            self.record_departure(registration.process, now)
+
     def _find_known(self, name, now):
         known = self._entries.get(name)
         if known is None or known.expires_at + POSITION_RETENTION_S <= now:
             return None
         return known
 
-    def _store(self, known, entry, now, has_changed_home=False):
+    def _store(self, known, entry, has_changed_home=False):
         """Store ``entry`` in place of ``known`` and record the change."""
         registration = entry.registration
-        if registration.is_leaving:
-            self.record_departure(registration.process, now)
-        elif self._departures.has_left(registration.process):
+        if self._departures.has_left(registration.process):
             registration = entry.registration = registration.mark_leaving()
         self._replace(entry)
         is_same = False
--- a/libs/membership/tests/test_departures.py
+++ b/libs/membership/tests/test_departures.py
@@ -45,7 +45,7 @@
     """A daemon that has forgotten the departure registers it as serving."""
     view = make_view()
     view.update(['stock'], [make_member('m1'), make_member('m2', 'i-2')], 0.0)
-    view.record_departure(registry.BackendProcess('i-1', 100), 1.0)
+    view.record_departure(registry.BackendProcess('m1', 'i-1', 100), 1.0)
     assert list_names(view) == {'m2'}
     restarted = make_member('m1', incarnation=2)
     view.update(['stock'], [restarted, make_member('m2', 'i-2')], 2.0)
@@ -64,7 +64,7 @@
 def test_next_process_with_the_same_identity_is_excluded():
     """A backend server may start again under the identity that it had."""
     view = make_view()
-    view.record_departure(registry.BackendProcess('i-1', 100), 0.0)
+    view.record_departure(registry.BackendProcess('m1', 'i-1', 100), 0.0)
     view.update(['stock'], [make_member('m1', born_ms=200)], 1.0)
     assert list_names(view) == {'m1'}
 
@@ -87,30 +87,35 @@
 
 
 def test_other_home_brings_a_leaving_process_back():
-    """Control hosts hear of a departure and of a restart in any order."""
-    changed = []
+    """It has not heard of the departure that another home knows."""
     known = registry.Registry()
-    known.on_local_change = changed.append
     leaving = make_member('m1', is_serving=False, is_leaving=True)
     restarted = make_member('m1', incarnation=2)
     known.store_copy('c2', leaving, 0.0)
     known.register(restarted, 0.1)
     (member,) = known.list_members(['stock'], 0.2)
     assert not member.is_serving
-    late = registry.Registry()
-    late.on_local_change = changed.append
-    late.register(make_member('m2'), 0.0)
+
+
+def test_departure_that_arrives_after_the_restart_is_ignored():
+    """The registration with it is older than that of the restarted owner."""
+    changed = []
+    known = registry.Registry()
+    known.on_local_change = changed.append
+    known.register(make_member('m1', incarnation=2), 0.0)
     changed.clear()
-    late.store_copy('c2', leaving, 0.1)
-    states = {m.is_serving for m in late.list_members(['stock'], 0.2)}
-    assert states == {False}
-    assert changed == ['m2']
+    leaving = make_member('m1', is_serving=False, is_leaving=True)
+    known.store_copy('c2', leaving, 0.1)
+    (member,) = known.list_members(['stock'], 0.2)
+    assert not member.is_serving
+    assert member.incarnation == 2
+    assert changed == ['m1']
 
 
 def test_restarted_control_hosts_believe_a_restarted_owner():
     """The hosts that stayed up tell them of the departure."""
     view = make_view()
-    process = registry.BackendProcess('i-1', 100)
+    process = registry.BackendProcess('m1', 'i-1', 100)
     view.record_departure(process, 10.0)
     known = registry.Registry()
     known.register(make_member('m1', incarnation=2), 20.0)
@@ -127,17 +132,25 @@
     """Only the newest are told, the newest first."""
     departures = _departures.Departures()
     for number in range(100):
-        process = registry.BackendProcess(f'i-{number}', number)
+        process = registry.BackendProcess('m1', f'i-{number}', number)
         departures.record(process, float(number))
     recent = [process.born_ms for process in departures.list_recent(100.0)]
     assert recent == list(range(99, 70, -1))
     many = _departures.Departures()
     for number in range(100):
-        many.record(registry.BackendProcess(f'i-{number}', number), 0.0)
+        many.record(registry.BackendProcess('m1', f'i-{number}', number), 0.0)
     most = _departures.MAX_RECENT_DEPARTURES
     assert len(many.list_recent(1.0)) == most
 
 
+def test_same_identity_beside_another_daemon_is_excluded():
+    """Backend servers number their processes without each other."""
+    view = make_view()
+    view.record_departure(registry.BackendProcess('m1', 'i-1', 100), 0.0)
+    view.update(['stock'], [make_member('m1'), make_member('m2')], 1.0)
+    assert list_names(view) == {'m2'}
+
+
 def test_stopping_daemon_is_taken_for_a_leaving_backend_server():
     """The backend server of a stopped daemon serves again after its start."""
     view = make_view()
@@ -150,7 +163,9 @@
     """Thousands of processes are replaced each day; the oldest are dropped."""
     departures = _departures.Departures()
     count = _departures.MAX_KEPT_DEPARTURES + 10
-    processes = [registry.BackendProcess(f'i-{n}', n) for n in range(count)]
+    processes = [
+        registry.BackendProcess('m1', f'i-{n}', n) for n in range(count)
+    ]
     for process in processes:
         departures.record(process, 0.0)
     known = [departures.has_left(process) for process in processes]
