Serve for 2 s of a planned stop

What callers saw: when hosts are stopped in turn, or all at the same moment, calls were refused from the first moment of each stop, or failed above as their nested calls were refused, although the backend servers were healthy. With all hosts of a test fleet stopped at once, none of the 817 requests that came in the first 1.5 s was served.

Cause: the owner of a stopping host took no calls from the SIGTERM on, 2.5 s before the end of its listener. With a service of four backend servers, three or four of them were out at the same time.

Change: the owner goes on to take calls for 2 s; then it is taken out of the members and has more than half of the grace for its last calls.

--- a/daemon/src/cactusloftd/resident/_stopping.py
+++ b/daemon/src/cactusloftd/resident/_stopping.py
@@ -11,6 +11,10 @@
 
 # Time for callers to detect that the host accepts no new requests.
 NOTICE_S = 2.5
+# Meanwhile the backend server goes on to get calls for this time, which leaves
+# its last calls more than half of the grace. When several hosts are stopped in
+# turn, a service would otherwise miss most of its backend servers.
+SERVING_S = 2.0
 # Part of the shutdown grace that is reserved for the exit of the process.
 EXIT_RESERVE_S = 0.95
 # Delay until a refused caller may return, which then finds another host.
@@ -22,6 +26,7 @@
 
     :param grace_s: seconds from its begin until the process must have ended.
     :param now: function that returns monotonic seconds.
+    :ivar serving_until: until when the local backend server gets new calls.
     :ivar notice_until: until when all requests are taken.
     :ivar exit_at: when requests in progress are no longer waited for.
     """
@@ -29,6 +34,7 @@
     def __init__(self, grace_s, now):
         self._grace_s = grace_s
         self._now = now
+        self.serving_until = math.inf
         self.notice_until = math.inf
         self.exit_at = math.inf
 
@@ -40,6 +46,7 @@
     def begin(self):
         """Start to stop."""
         started_at = self._now()
+        self.serving_until = started_at + SERVING_S
         self.notice_until = started_at + NOTICE_S
         self.exit_at = started_at + self._grace_s - EXIT_RESERVE_S
 
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -233,10 +233,10 @@
             _V.DAEMON_STOPPING, open_exchanges=self.exchanges.count
         )
         if self._host_context.backend_server:
+            await self._sleep_until(self._stop.serving_until)
             self._owner.stop()
             await self._members.report_now()
-            notice_s = self._stop.notice_until - self._now()
-            await asyncio.sleep(max(0.0, notice_s))
+            await self._sleep_until(self._stop.notice_until)
         stop_listening()
         while self._now() < self._stop.exit_at and self._is_busy():
             await asyncio.sleep(SHUTDOWN_POLL_S)
@@ -255,6 +255,9 @@
         self._node.close()
         self.log.record(_V.DAEMON_STOPPED, open_exchanges=self.exchanges.count)
 
+    async def _sleep_until(self, end):
+        await asyncio.sleep(max(0.0, end - self._now()))
+
     def _is_busy(self):
         held = self._owner.held if self._host_context.backend_server else 0
         return bool(self.exchanges.count or held)
