Leave a control host that does not answer a first poll at once

Two control hosts of its data centre had lost power together 3.7 s before, one of them the host's home.

Suspected cause: the daemon notices its silent home after 1.5 s and polls the next control host of its data centre.

Change: the first poll of a control host is answered at once, without waiting for a change, and has 0.8 s to be answered.

Evidence: test_two_lost_control_hosts_delay_a_change, the timeouts were 2 s before. The failure tests of control hosts and members pass.

--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -20,6 +20,10 @@
 RELAY_HOLD_TIME_S = 0.25
 REPLY_MARGIN_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
+# The first poll of a control host is answered at once. A link that was idle
+# looks up although its host is lost; two hosts that are lost together must not
+# delay a change by more than it may take to arrive.
+FIRST_REPLY_TIMEOUT_S = 0.8
 RETRY_DELAY_S = 0.2
 # A control host whose confirmation is older than this may be isolated. A
 # change must reach every daemon within 2 s of its acceptance, so the daemon
@@ -156,7 +160,8 @@
 
     async def _watch(self, host):
         """Poll ``host`` once; tell whether to go on with it."""
-        if host.name != self._watched_name:
+        is_first = host.name != self._watched_name
+        if is_first:
             # Table versions are those of one control host.
             self._known_versions.clear()
             self._watched_name = host.name
@@ -165,6 +170,9 @@
             return False
         self._report_due.clear()
         hold_time_s = RELAY_HOLD_TIME_S if self._is_relay else HOLD_TIME_S
+        timeout_s = hold_time_s + REPLY_MARGIN_S
+        if is_first:
+            hold_time_s, timeout_s = 0.0, FIRST_REPLY_TIMEOUT_S
         watch = _messages.Watch(
             daemon=self._name,
             version=self._installed.version.number,
@@ -178,7 +186,7 @@
         # The time before sending is a lower bound, so that the confirmation
         # is never taken to be later than it was.
         sent_at = self._now()
-        reply = await self._request(peer, watch, hold_time_s + REPLY_MARGIN_S)
+        reply = await self._request(peer, watch, timeout_s)
         if reply is None:
             return True
         if not pipeline.is_successful(reply):
--- a/daemon/tests/test_watch.py
+++ b/daemon/tests/test_watch.py
@@ -46,12 +46,14 @@
     def __init__(self):
         self.answer = None
         self.watches = []
+        self.timeouts_s = []
 
     async def wait_until_up(self, _timeout_s):
         return True
 
-    async def request(self, watch, _timeout_s):
+    async def request(self, watch, timeout_s):
         self.watches.append(watch)
+        self.timeouts_s.append(timeout_s)
         if self.answer is None:
             error = link.LinkError(link.LinkFailure.TIMEOUT)
             return result.Failure(error)
@@ -171,3 +173,17 @@
         report.known for watch in fleet.near.watches for report in watch.tables
     ]
     assert known[:5] == [0, 0, 0, 7, 7]
+
+
+def test_two_lost_control_hosts_delay_a_change(fleet, make_watcher):
+    """The next host may be lost as well, though its link looks up.
+
+    A host that is asked for the first time answers at once, or is left.
+    """
+    fleet.far.answer = _make_answer()
+    watcher = make_watcher('d1')
+    asyncio.run(_run_until(watcher, lambda: len(fleet.far.watches) > 1))
+    for lost in (fleet.near, fleet.relay):
+        assert lost.timeouts_s == [_watch.FIRST_REPLY_TIMEOUT_S]
+    assert [watch.hold_ms for watch in fleet.far.watches[:2]] == [0, 1000]
+    assert fleet.far.timeouts_s[1] > _watch.HOLD_TIME_S
