Scale the steps of a stop to a short grace

Found by reading the stop once more: with a grace of 3 s, which another deployment may have, the backend server would get calls until 0.05 s before the exit, and all requests would be taken until after it.

Change: the steps take at most 0.4 and 0.5 of the time until the exit; nothing changes for a grace of 6 s or more.

Evidence: test_short_grace_leaves_no_time_for_the_last_requests; without the limits notice_until is 2.5 s and exit_at 2.05 s at a grace of 3 s.

--- a/daemon/src/cactusloftd/resident/_stopping.py
+++ b/daemon/src/cactusloftd/resident/_stopping.py
@@ -15,6 +15,10 @@
 # its last calls more than half of the grace. When several hosts are stopped in
 # turn, a service would otherwise miss most of its backend servers.
 SERVING_S = 2.0
+# Upper limits of these two as fractions of the time until the exit, for
+# platforms with a short grace.
+MAX_NOTICE_FRACTION = 0.5
+MAX_SERVING_FRACTION = 0.4
 # Part of the shutdown grace that is reserved for the exit of the process.
 EXIT_RESERVE_S = 0.95
 # Delay until a refused caller may return, which then finds another host.
@@ -46,9 +50,12 @@
     def begin(self):
         """Start to stop."""
         started_at = self._now()
-        self.serving_until = started_at + SERVING_S
-        self.notice_until = started_at + NOTICE_S
-        self.exit_at = started_at + self._grace_s - EXIT_RESERVE_S
+        left_s = max(0.0, self._grace_s - EXIT_RESERVE_S)
+        serving_s = min(SERVING_S, MAX_SERVING_FRACTION * left_s)
+        notice_s = min(NOTICE_S, MAX_NOTICE_FRACTION * left_s)
+        self.serving_until = started_at + serving_s
+        self.notice_until = started_at + notice_s
+        self.exit_at = started_at + left_s
 
     def finish(self):
         """Take no more requests, as connections are about to be closed."""
--- a/daemon/tests/resident/test_stopping.py
+++ b/daemon/tests/resident/test_stopping.py
@@ -45,6 +45,19 @@
     assert stop.takes(clock.now + timeout_s) is is_taken
 
 
+@pytest.mark.parametrize('grace_s', [0.5, 2.0, 3.0, 6.0, 10.0])
+def test_short_grace_leaves_no_time_for_the_last_requests(grace_s):
+    """The backend server stops first, then the notice ends, then the rest."""
+    clock = Clock()
+    stop = _stopping.Stop(grace_s, clock)
+    stop.begin()
+    left_s = stop.exit_at - clock.now
+    assert 0.0 <= left_s <= max(0.0, grace_s - _stopping.EXIT_RESERVE_S)
+    assert stop.serving_until - clock.now <= 0.4 * left_s + 1e-9
+    assert stop.notice_until - clock.now <= 0.5 * left_s + 1e-9
+    assert stop.serving_until <= stop.notice_until <= stop.exit_at
+
+
 def test_running_process_refuses_requests():
     """Nothing is refused before the stop has begun."""
     stop = _stopping.Stop(GRACE_S, Clock())
