--- a/review/1/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-exec python3 review/1/case.py
+exec python3 review/4/case.py
