--- a/review/standins.py
+++ b/review/standins.py
@@ -215,20 +215,24 @@
         )
         return answer.status if answer else None
 
-    def make_request(self, method, path, deadline_ms, body=b'', request_id=''):
-        """Return the id and the bytes of a client's request."""
-        request_id = request_id or f'{next(self._ids):016x}'
-        head = write_head(
-            f'{method} {path} HTTP/1.1',
-            [
-                ('Host', HOST_NAME),
-                ('X-Cactusloft-Request-Id', request_id),
-                ('X-Cactusloft-Deadline-Ms', str(deadline_ms)),
-                ('Authorization', f'Bearer {KEY}'),
-                ('Content-Length', str(len(body))),
-            ],
-        )
-        return request_id, head + body
+    def make_request(self, method, path, deadline_ms, request_id=''):
+        """Return the id and the bytes of a request without a body.
+
+        :param request_id: id of a worker's call, which carries no key; empty
+            for a client's request.
+        """
+        headers = [
+            ('Host', HOST_NAME),
+            ('X-Cactusloft-Request-Id', request_id),
+            ('X-Cactusloft-Deadline-Ms', str(deadline_ms)),
+        ]
+        if not request_id:
+            request_id = f'{next(self._ids):016x}'
+            headers[1] = ('X-Cactusloft-Request-Id', request_id)
+            headers.append(('Authorization', f'Bearer {KEY}'))
+        if method == 'POST':
+            headers.append(('Content-Length', '0'))
+        return request_id, write_head(f'{method} {path} HTTP/1.1', headers)
 
     def ask(self, sidecar, method, path, deadline_ms=3000):
         """Send a request on a new connection; return id and answer."""
