--- a/review/standins.py
+++ b/review/standins.py
@@ -157,10 +157,10 @@
     :param services: service of the worker on each sidecar machine.
     :param respond: function(worker, request) that serves a request at a
         worker; it returns or yields the bytes of the answer.
-    :param slots: slots of each worker.
+    :param slots: slots of a worker by its service, 20 if it is missing.
     """
 
-    def __init__(self, folder, services, respond, slots=20):
+    def __init__(self, folder, services, respond, slots=None):
         self.record = Record(folder)
         self._temporary = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         number = os.getpid() % 60000
@@ -172,7 +172,14 @@
             for index, service in enumerate(services)
         ]
         self.workers = [
-            Worker(sidecar.ip, service, f'i-{index}', respond, self, slots)
+            Worker(
+                sidecar.ip,
+                service,
+                f'i-{index}',
+                respond,
+                self,
+                (slots or {}).get(service, 20),
+            )
             for index, (sidecar, service) in enumerate(
                 zip(self.sidecars, services)
             )
