--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -126,6 +126,7 @@
             consensus_node.Timing(),
             random.SystemRandom(),
             now(),
+            settings.least_voters,
         )
         self.replica = consensus_replica.Replica(
             protocol,
--- a/daemon/src/cactusloftd/resident/_group_entry.py
+++ b/daemon/src/cactusloftd/resident/_group_entry.py
@@ -16,10 +16,6 @@
 
 RETRY_DELAY_S = 0.3
 CHECK_INTERVAL_S = 1.0
-# An unresponsive member is removed after this time, so that one that is lost
-# for good no longer counts towards a majority. A member that returns joins
-# again. Longer than a restart, a process freeze or a short network partition.
-UNRESPONSIVE_TIMEOUT_S = 12.0
 _V = events.Event
 
 
@@ -28,17 +24,14 @@
 
     :param plane: :class:`_control_plane.ControlPlane` with a replica.
     :param is_founder: whether to create the group if there is none.
-    :param min_voters: minimum number of responsive voters that must be left
-        when a member is removed.
     :param log: :class:`events.EventLog`.
     """
 
-    def __init__(self, plane, is_founder, min_voters, log):
+    def __init__(self, plane, is_founder, log):
         self._replica = plane.replica
         self._control = plane.control
         self._operators = plane.operators
         self._is_founder = is_founder
-        self._min_voters = min_voters
         self._log = log
 
     async def run(self):
@@ -61,23 +54,12 @@
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _remove_unresponsive(self):
-        """Remove one unresponsive member if enough voters are left."""
-        voters = {
-            member.replica_id
-            for member in self._replica.membership.members
-            if member.is_voter
-        }
-        unresponsive = self._replica.list_unresponsive_members(
-            UNRESPONSIVE_TIMEOUT_S
-        )
-        if (
-            not unresponsive
-            or len(voters.difference(unresponsive)) < self._min_voters
-        ):
-            return
-        await self._operators.execute(
-            _messages.ReplicaChange(unresponsive[0], '', False)
-        )
+        """Remove one unresponsive member, as the leader."""
+        replica_id = self._replica.find_removable_member()
+        if replica_id is not None:
+            await self._operators.execute(
+                _messages.ReplicaChange(replica_id, '', False)
+            )
 
     def _create_group(self):
         if pipeline.is_successful(self._control.bootstrap()):
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -171,7 +171,6 @@
             entry = _group_entry.GroupEntry(
                 self._plane,
                 self._host_context.is_founder,
-                self._settings.least_voters,
                 self.log,
             )
             jobs += [
--- a/libs/consensus/src/cactusloft_consensus/_node.py
+++ b/libs/consensus/src/cactusloft_consensus/_node.py
@@ -16,6 +16,7 @@
 from cactusloft_consensus import _log
 from cactusloft_consensus import _messages
 from cactusloft_consensus import _roles
+from cactusloft_consensus import _voters
 from cactusloft_model import errors
 
 TOKEN_BITS = 62
@@ -88,9 +89,11 @@
     :param timing: :class:`Timing` of the group.
     :param randomness: ``random.Random`` for timeouts and tokens.
     :param now: monotonic time in seconds.
+    :param min_voters: minimum number of responsive voters that must be left
+        when an unresponsive member is removed.
     """
 
-    def __init__(self, persisted, timing, randomness, now):
+    def __init__(self, persisted, timing, randomness, now, min_voters=1):
         self.replica_id = persisted.replica_id
         self.term = persisted.vote.term
         self.leader_id = ''
@@ -99,6 +102,7 @@
         self.confirmed_at = None
         self._voted_for = persisted.vote.voted_for
         self._timing = timing
+        self._min_voters = min_voters
         self._randomness = randomness
         self._role = _roles.RoleMachine()
         self._leader_state = None
@@ -155,15 +159,22 @@
             for replica_id, member in progress.items()
         }
 
-    def list_unresponsive_members(self, unresponsive_s):
-        """Return the ids of unresponsive members; empty unless leader.
+    def find_removable_member(self):
+        """Return the id of an unresponsive member to remove, or None.
 
-        :param unresponsive_s: seconds without a reply to a heartbeat.
+        Always None unless this replica leads.
         """
         if not self.is_ready:
-            return []
-        rounds = int(unresponsive_s / self._timing.heartbeat_interval_s)
-        return self._leader_state.list_unresponsive_members(rounds)
+            return None
+        state = self._leader_state
+        missed_s = {
+            member.replica_id: state.count_missed_rounds(member.replica_id)
+            * self._timing.heartbeat_interval_s
+            for member in self.log.members
+        }
+        return _voters.find_removable_member(
+            self.log.members, missed_s, self._min_voters
+        )
 
     def bootstrap(self, address):
         """Found a group whose only member is this new replica.
--- a/libs/consensus/src/cactusloft_consensus/_progress.py
+++ b/libs/consensus/src/cactusloft_consensus/_progress.py
@@ -70,17 +70,13 @@
             for member in members
         }
 
-    def list_unresponsive_members(self, rounds):
-        """Return the ids of members that acknowledged no recent round.
+    def count_missed_rounds(self, replica_id):
+        """Return how many of the latest rounds a member has not acknowledged.
 
-        :param rounds: number of rounds that count as recent.
+        Rounds before the leader added the member do not count.
         """
-        oldest_round = self._round_id - rounds
-        return [
-            replica_id
-            for replica_id, progress in self.progress.items()
-            if max(progress.acked_round, progress.first_round) < oldest_round
-        ]
+        progress = self.progress[replica_id]
+        return self._round_id - max(progress.acked_round, progress.first_round)
 
     def find_majority_value(self, members, read_value):
         """Return the highest value that a majority of voters has reached."""
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -147,16 +147,12 @@
         """Return the synced index of each member; empty unless leader."""
         return self._node.list_match_indexes()
 
-    def list_unresponsive_members(self, unresponsive_s):
-        """Return the ids of unresponsive members; empty unless leader.
+    def find_removable_member(self):
+        """Return the id of an unresponsive member to remove, or None.
 
-        :param unresponsive_s: seconds without a reply to a heartbeat.
+        Always None unless this replica leads.
         """
-        return (
-            []
-            if self.failure
-            else self._node.list_unresponsive_members(unresponsive_s)
-        )
+        return None if self.failure else self._node.find_removable_member()
 
     def set_change_guard(self, is_settled):
         """Refuse membership changes until the last one has taken effect.
