Keep the majority while leaders are replaced in series

Cause: each leader counted missed heartbeats from zero, so a member that was lost for good stayed a voter while leaders changed within 12 s. Successors became further voters meanwhile: eight voters, four of them left.

Change: heartbeats carry the rounds that silent members missed, and the next leader goes on from there. While the number of voters is even, a silent voter is removed after 5 s and no learner is promoted before, so the group has never more than one voter too many.

--- a/libs/consensus/src/cactusloft_consensus/_follower.py
+++ b/libs/consensus/src/cactusloft_consensus/_follower.py
@@ -29,6 +29,21 @@
             )
         self._election_due_at = now + self._randomness.uniform(*bounds)
 
+    def _count_earlier_missed_rounds(self, now):
+        """Return the rounds that members missed before this election.
+
+        The last leader is included: it has sent no heartbeat for a while.
+
+        :returns: numbers of rounds by replica id.
+        """
+        silence_s = now - self._last_contact_at
+        rounds = {item.replica_id: item.rounds for item in self._missed_rounds}
+        if self._last_leader_id:
+            rounds[self._last_leader_id] = int(
+                silence_s / self._timing.heartbeat_interval_s
+            )
+        return rounds
+
     def _become_follower(self, term, leader_id, now):
         if term > self.term:
             self.term = term
@@ -37,6 +52,10 @@
         if self._leader_state is not None:
             # A sync of own entries that ends after this must not advance the
             # commit index of a later term.
+            self._missed_rounds = self._leader_state.list_missed_rounds(
+                self.log.members
+            )
+            self._last_leader_id = ''
             self._leader_state = None
             self._has_heard_leader = True
         if self._role.state != _roles.FOLLOWER:
@@ -152,12 +171,14 @@
         self._has_heard_leader = True
         self._become_follower(term, sender, now)
         self._last_contact_at = now
+        self._last_leader_id = sender
         return True
 
     def _handle_append(self, sender, append, now):
         if not self._accept_leader(sender, append.term, now):
             self._reply(sender, False, 0, 0, now)
             return
+        self._missed_rounds = append.missed_rounds
         prev_index, prev_term = append.prev_index, append.prev_term
         is_in_snapshot = prev_index < self.log.snapshot.index
         if not is_in_snapshot and self.log.find_term(prev_index) != prev_term:
--- a/libs/consensus/src/cactusloft_consensus/_leader.py
+++ b/libs/consensus/src/cactusloft_consensus/_leader.py
@@ -5,10 +5,7 @@
 from cactusloft_consensus import _follower
 from cactusloft_consensus import _messages
 from cactusloft_consensus import _progress
-
-# A learner that missed more heartbeat rounds is not promoted, since an
-# unresponsive voter could cost the group its majority.
-MAX_MISSED_ROUNDS = 3
+from cactusloft_consensus import _voters
 
 
 class LeaderBase(_follower.FollowerBase):
@@ -21,7 +18,10 @@
         # The votes were granted after the election began but before now, so
         # the majority confirms this leader as of the start of the election.
         state = _progress.LeaderState(
-            self.replica_id, first_index, self._election_started_at
+            self.replica_id,
+            first_index,
+            self._election_started_at,
+            self._count_earlier_missed_rounds(now),
         )
         self._leader_state = state
         state.update_members(self.log.members, self.log.last_index)
@@ -56,12 +56,16 @@
         state, members = self._leader_state, self.log.members
         if not self.is_ready:
             return
+        member_states = state.list_member_states(members)
+        if not _voters.can_promote(member_states, self._min_voters):
+            return
         for learner in members:
             if learner.is_voter:
                 continue
             progress = state.progress[learner.replica_id]
+            # An unresponsive voter could cost the group its majority.
             is_unresponsive = (
-                progress.acked_round < state.round_id - MAX_MISSED_ROUNDS
+                progress.acked_round < state.round_id - _voters.SILENT_ROUNDS
             )
             if is_unresponsive or progress.match_index < self.commit_index:
                 continue
@@ -116,6 +120,7 @@
             round_id=state.round_id,
             echo=progress.last_token,
             confirmed_age=age,
+            missed_rounds=state.list_missed_rounds(self.log.members),
         )
         self._send(replica_id, message)
 
--- a/libs/consensus/src/cactusloft_consensus/_messages.py
+++ b/libs/consensus/src/cactusloft_consensus/_messages.py
@@ -103,6 +103,14 @@
     granted: bool
 
 
+@attrs.frozen
+class MissedRounds:
+    """Heartbeat rounds that a silent member has not acknowledged."""
+
+    replica_id: str
+    rounds: int
+
+
 @attrs.frozen
 class Append:
     """Heartbeat of the leader with zero or more entries.
@@ -112,6 +120,7 @@
     :ivar echo: token of the latest reply received from the target.
     :ivar confirmed_age: seconds since a majority last confirmed the leader,
         or None before it has committed an entry of its term.
+    :ivar missed_rounds: silent members, for the next leader.
     """
 
     term: int
@@ -122,6 +131,7 @@
     round_id: int
     echo: int
     confirmed_age: float | None
+    missed_rounds: tuple[MissedRounds, ...] = ()
 
 
 @attrs.frozen
--- a/libs/consensus/src/cactusloft_consensus/_node.py
+++ b/libs/consensus/src/cactusloft_consensus/_node.py
@@ -109,6 +109,8 @@
         self._now = now
         self._election_started_at = now
         self._last_contact_at = now - timing.max_election_timeout_s
+        self._last_leader_id = ''
+        self._missed_rounds = ()
         self._has_heard_leader = False
         self._granted_by = set()
         self._collected_index = persisted.snapshot.index
@@ -149,6 +151,13 @@
         """Return the committed :class:`Membership`."""
         return self.log.find_membership(self.commit_index)
 
+    def measure_silence_s(self, now):
+        """Return the seconds since the last message of a leader.
+
+        :param now: monotonic time in seconds.
+        """
+        return 0.0 if self.is_leader else now - self._last_contact_at
+
     def list_match_indexes(self):
         """Return the synced index of each member; empty unless leader."""
         if self._leader_state is None:
@@ -166,14 +175,10 @@
         """
         if not self.is_ready:
             return None
-        state = self._leader_state
-        missed_s = {
-            member.replica_id: state.count_missed_rounds(member.replica_id)
-            * self._timing.heartbeat_interval_s
-            for member in self.log.members
-        }
         return _voters.find_removable_member(
-            self.log.members, missed_s, self._min_voters
+            self._leader_state.list_member_states(self.log.members),
+            self._timing.heartbeat_interval_s,
+            self._min_voters,
         )
 
     def bootstrap(self, address):
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -129,6 +129,11 @@
         """
         return None if self.failure else self._node.confirmed_at
 
+    @property
+    def leader_silence_s(self):
+        """Return the seconds since the last message of a leader."""
+        return self._node.measure_silence_s(self._read_clock())
+
     def find_latest_text(self):
         """Return the latest document text in the log, committed or not."""
         log = self._node.log
--- a/libs/consensus/tests/conftest.py
+++ b/libs/consensus/tests/conftest.py
@@ -116,7 +116,11 @@
     STEP_S = 0.02
 
     def __init__(
-        self, size, seed=1, limits=replica.CompactionLimits(max_entries=20)
+        self,
+        size,
+        seed=1,
+        limits=replica.CompactionLimits(max_entries=20),
+        min_voters=1,
     ):
         self.now = 1000.0
         self.random = random.Random(seed)
@@ -127,6 +131,7 @@
         self.sync_probability = 0.7
         self.acknowledged = {}
         self._limits = limits
+        self._min_voters = min_voters
         self._proposed = {}
         self._in_flight = []
         self._committed = {}
@@ -147,7 +152,13 @@
         host.storage, persisted = storage.open_storage(
             host.disk, self.random.randbytes
         )
-        host.node = node.Node(persisted, node.Timing(), self.random, self.now)
+        host.node = node.Node(
+            persisted,
+            node.Timing(),
+            self.random,
+            self.now,
+            self._min_voters,
+        )
         host.store = documents.DocumentStore()
         host.applier = replica.Applier(host.node, host.store, self._limits)
         host.outputs = []
@@ -260,8 +271,8 @@
         due = [item for item in self._in_flight if item[0] <= self.now]
         self._in_flight = [i for i in self._in_flight if i[0] > self.now]
         for _, envelope, address in due:
-            host = self.hosts[address]
-            if host.node is not None:
+            host = self.hosts.get(address)
+            if host is not None and host.node is not None:
                 host.node.receive(envelope, self.now)
                 self._collect(host)
         for host in self.hosts.values():
