Let removed control hosts that still run join again

Change: a member that has heard no leader for 2 s asks to be added, which has no effect on members. The leader that decides on a removal carries it out itself: before, a removal that had to wait was resent to another leader, which may have heard from the member.

--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -198,6 +198,8 @@
         if isinstance(request, _messages.ShowRequest):
             return make_answer(DocumentView(store.version, store.text))
         if request.address:
+            if self._is_member(request.replica_id):
+                return make_answer(self.list_replicas())
             await self._remove_replaced(request)
             outcome = await self.replica.add_member(
                 request.replica_id, request.address, APPLY_TIMEOUT_S
@@ -215,6 +217,10 @@
         )
         return make_answer(self.list_replicas())
 
+    def _is_member(self, replica_id):
+        members = self.replica.membership.members
+        return any(m.replica_id == replica_id for m in members)
+
     async def _remove_replaced(self, request):
         """Remove the earlier replica at the endpoint of the new one.
 
--- a/daemon/src/cactusloftd/_operators.py
+++ b/daemon/src/cactusloftd/_operators.py
@@ -45,13 +45,16 @@
         ):
             self._node.handle_requests(message_class, self._handle)
 
-    async def execute(self, request):
+    async def execute(self, request, timeout_s=_control.LEADER_TIMEOUT_S):
         """Return the :class:`ControlReply` to a request.
 
         All requests are idempotent: a change has its change id, and adding or
         removing a replica twice has no further effect.
+
+        :param timeout_s: seconds to wait for a leader; with 0, each control
+            host is asked once.
         """
-        deadline = self._now() + _control.LEADER_TIMEOUT_S
+        deadline = self._now() + timeout_s
         while True:
             reply = await self._handle(request, 0.0)
             if _is_unavailable(reply):
--- a/daemon/src/cactusloftd/resident/_group_entry.py
+++ b/daemon/src/cactusloftd/resident/_group_entry.py
@@ -3,8 +3,9 @@
 The founder creates the group once, when the whole system first starts and its
 data folder is empty. A control host that is not a member asks the control
 hosts that it knows to add it: after its first start, after the loss of its
-data folder, and after the group has removed it. The leader removes
-unresponsive members.
+data folder, and after the group has removed it. A removed host gets no further
+log entries, so it may not know of its removal: it also asks while it hears no
+leader. The leader removes unresponsive members.
 """
 
 import asyncio
@@ -15,7 +16,11 @@
 from cactusloftd import _messages
 
 RETRY_DELAY_S = 0.3
-CHECK_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 0.5
+# A member that has heard no leader for this long asks to be added again.
+# Longer than an election.
+LEADER_SILENCE_S = 2.0
+REJOIN_INTERVAL_S = 1.0
 _V = events.Event
 
 
@@ -46,18 +51,29 @@
                         _V.GROUP_JOINED, replica_id=self._replica.replica_id
                     )
                 was_member = True
-                await self._remove_unresponsive()
-                await asyncio.sleep(CHECK_INTERVAL_S)
+                await self._keep_membership()
                 continue
             was_member = False
             await self._operators.execute(self._control.make_join_request())
             await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _keep_membership(self):
+        if self._replica.leader_silence_s > LEADER_SILENCE_S:
+            # Has no effect while this replica is a member.
+            await self._operators.execute(
+                self._control.make_join_request(), timeout_s=0.0
+            )
+            await asyncio.sleep(REJOIN_INTERVAL_S)
+            return
+        await self._remove_unresponsive()
+        await asyncio.sleep(CHECK_INTERVAL_S)
+
     async def _remove_unresponsive(self):
         """Remove one unresponsive member, as the leader."""
         replica_id = self._replica.find_removable_member()
         if replica_id is not None:
-            await self._operators.execute(
+            # Not forwarded: another leader may have heard from the member.
+            await self._control.execute(
                 _messages.ReplicaChange(replica_id, '', False)
             )
 
