Remember departures that precede any heartbeat

Cause: the announcement of a process without a known heartbeat was dropped and acknowledged all the same; and any departure was acknowledged before another host knew it, so that a kill right after it could lose it.

Change: the daemon keeps announcements by identity and start, registers such a process as leaving, and acknowledges a departure once its home has confirmed it (503 otherwise; the backend server repeats it). An announcement with another start no longer stops the current process.

--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -15,6 +15,9 @@
 CONNECT_TIMEOUT_S = 0.3
 # A daemon that shuts down waits this long for the ack of its last report.
 REPORT_TIMEOUT_S = 1.0
+# A departure is acknowledged once the home has confirmed it. The sender waits
+# one second for the acknowledgement.
+DEPARTURE_TIMEOUT_S = 0.7
 # The first call to a service waits this long for its members.
 FIRST_USE_TIMEOUT_S = 1.0
 # Pressure level at which calls of no priority are admitted.
@@ -56,6 +59,7 @@
         self._is_settled = False
         self._links = {}
         self._acked_sequence = 0
+        self._confirmed_departure = None
         self.find_home = lambda: None
         self.on_report_due = lambda: None
         self.on_departure = lambda process: None
@@ -92,6 +96,20 @@
             lambda: self._acked_sequence > previous_sequence, REPORT_TIMEOUT_S
         )
 
+    async def report_departure(self, process):
+        """Report that the local backend server leaves; wait for the home.
+
+        :param process: :class:`registry.BackendProcess` that leaves.
+        :returns: whether the home has confirmed that it knows.
+        """
+        if self._confirmed_departure != process:
+            self.on_report_due()
+            await self._wait_until(
+                lambda: self._confirmed_departure == process,
+                DEPARTURE_TIMEOUT_S,
+            )
+        return self._confirmed_departure == process
+
     def make_report(self):
         """Return the report to the home of this daemon."""
         services = tuple(self._view.list_services(self._now()))
@@ -122,6 +140,7 @@
         )
         self._known_services.update(table.services)
         if table.leaving_process is not None:
+            self._confirmed_departure = table.leaving_process
             self.on_departure(table.leaving_process)
         self._acked_sequence = max(self._acked_sequence, table.sequence)
         self._table_received.set()
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import functools
+import time
 
 from returns import result
 
@@ -36,6 +37,7 @@
 PROBE_DELAY_S = 0.05
 # Calls lost within this time before a detected crash are attributed to it.
 CRASH_WINDOW_S = 0.5
+NS_PER_MS = 10**6
 NO_SLOT = 'no slot in time'
 NO_FREE_SLOT = 'no free slot'
 _E = errors.ErrorKind
@@ -90,6 +92,11 @@
         """Tell whether new calls are accepted."""
         return not self._is_stopping and self._state.is_serving(self._now())
 
+    @property
+    def process(self):
+        """Return the :class:`registry.BackendProcess`, None if unknown."""
+        return self._state.process
+
     @property
     def is_leaving(self):
         """Tell whether the backend server has announced its departure."""
@@ -180,7 +187,9 @@
         :param born_ms: wall clock time in milliseconds at which the process
             started, None if unknown.
         """
-        if self._state.leave(instance, born_ms):
+        had_left = self._state.has_left
+        wall_ms = time.time_ns() // NS_PER_MS
+        if self._state.leave(instance, born_ms, wall_ms) and not had_left:
             self._log_draining(instance)
             self.on_change()
 
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -150,6 +150,17 @@
         )
         return await self._plane.operators.execute(request)
 
+    async def publish_departure(self):
+        """Wait until a control host knows that the backend server leaves.
+
+        After a restart this daemon learns of the departure from there.
+
+        :returns: whether a control host knows it, or there is none to tell.
+        """
+        if not self._owner.is_leaving:
+            return True
+        return await self._members.report_departure(self._owner.process)
+
     def read_document(self):
         """Return the newest document text, or None if it may be outdated."""
         replica = self._plane.replica
@@ -372,7 +383,7 @@
 
     def _make_registration(self):
         settings = self._settings
-        heartbeat = self._owner.heartbeat
+        heartbeat, process = self._owner.heartbeat, self._owner.process
         self._reported_serving = self._owner.is_serving
         return registry.Registration(
             name=settings.name,
@@ -384,10 +395,10 @@
             admin='',
             public_key='',
             service=heartbeat.service if heartbeat else '',
-            instance=heartbeat.instance if heartbeat else '',
+            instance=process.instance if process else '',
             slots=heartbeat.slots if heartbeat else 0,
             is_serving=self._reported_serving,
-            born_ms=heartbeat.born_ms if heartbeat else 0,
+            born_ms=process.born_ms if process else 0,
             is_leaving=self._owner.is_leaving,
         )
 
