Keep sound backend servers in use after odd messages

Callers saw: after one heartbeat of another writer, or one with the largest start, sequence number or slots, calls end with 502 and the backend server gets no calls any more, or it cannot leave.

Cause: each message was believed by itself. The latest start and the highest sequence number won, whatever else the daemon knew.

Change: heartbeats must name the address and the service of the settings and a start that is not in the future. Another process succeeds the current one only if that is known to have ended.

--- a/daemon/src/cactusloftd/resident/_backend_server.py
+++ b/daemon/src/cactusloftd/resident/_backend_server.py
@@ -1,7 +1,10 @@
 """State of the local backend server, as reported by its heartbeats.
 
-Processes are ordered by start time and the messages of one process by sequence
-number, so that a delayed heartbeat of an earlier process is ignored.
+The messages of one process are ordered by sequence number. A heartbeat of
+another process replaces the current one only once the current one is known to
+have ended: it may be delayed, or come from a program that is no backend server
+here. No single message makes the daemon deaf to the later ones of the backend
+server, whatever numbers it holds.
 """
 
 import collections
@@ -14,6 +17,13 @@
 MAX_KEPT_DEPARTURES = 64
 # Four heartbeat intervals. A crash is detected sooner, by failed connections.
 LEASE_S = 6.0
+# Two heartbeats in a row are missing.
+SILENCE_S = 3.0
+# A process that claims to start later than this, on the clock of the daemon,
+# does not exist. Clocks of hosts differ by seconds at most.
+MAX_START_AHEAD_MS = 5 * 60 * 1000
+# A process warms up for seconds; a longer warm-up is cut to this.
+MAX_WARM_UP_S = 10.0
 
 
 class AnnouncedDepartures:
@@ -59,6 +69,8 @@
     :ivar heard_at: monotonic time in seconds at which it arrived.
     :ivar has_left: whether the process will never accept new calls again.
     :ivar is_unreachable: whether a connection was refused since then.
+    :ivar lost_at: monotonic time in seconds at which the process was last seen
+        not to be there: a connection was refused, or another one answered.
     """
 
     daemon: str = ''
@@ -68,6 +80,13 @@
     heard_at: float = float('-inf')
     has_left: bool = False
     is_unreachable: bool = False
+    lost_at: float = float('-inf')
+    # Newest heartbeat of another process, which may succeed the current one.
+    _candidate: object = None
+    # Sequence number of the last heartbeat that looked delayed.
+    _delayed_sequence: int | None = None
+    # Slots in the last heartbeat if they differed from those in use.
+    _claimed_slots: int | None = None
 
     @property
     def process(self):
@@ -79,26 +98,28 @@
         )
 
     def apply_heartbeat(self, heartbeat, now):
-        """Apply a heartbeat, unless a newer one was applied before.
+        """Apply a heartbeat.
 
         :param now: monotonic time in seconds.
-        :returns: whether the heartbeat is the first one of a new process.
+        :returns: whether its process is the current one from now on.
         """
         current = self.heartbeat
-        if current is not None and _sort_key(heartbeat) <= _sort_key(current):
+        if current is not None and _is_same_process(heartbeat, current):
+            self._renew(heartbeat, now)
             return False
-        is_new = current is None or _process_key(heartbeat) != _process_key(
-            current
-        )
-        # A process that announced its departure never serves again.
-        is_leaving = (
-            self.departures.includes(heartbeat) if is_new else self.has_left
-        )
-        self.heartbeat = heartbeat
-        self.heard_at = now
-        self.has_left = is_leaving or heartbeat.is_draining
-        self.is_unreachable = False
-        return is_new
+        if current is not None and not self._is_successor(heartbeat, now):
+            self._candidate = heartbeat
+            return False
+        self._install(heartbeat, now)
+        return True
+
+    def record_loss(self, now):
+        """Record that the current process was seen not to be there.
+
+        :param now: monotonic time in seconds.
+        """
+        self.is_unreachable = True
+        self.lost_at = now
 
     def leave(self, instance, born_ms, wall_ms):
         """Record that a process announced its departure.
@@ -132,10 +153,83 @@
             return False
         return now - self.heard_at < LEASE_S
 
+    def _is_successor(self, heartbeat, now):
+        """Tell whether a heartbeat of another process replaces the current."""
+        silence_s = now - self.heard_at
+        if self.lost_at > self.heard_at or silence_s >= LEASE_S:
+            return True
+        candidate = self._candidate
+        is_confirmed = (
+            candidate is not None
+            and _is_same_process(heartbeat, candidate)
+            and heartbeat.sequence > candidate.sequence
+        )
+        return is_confirmed and silence_s >= SILENCE_S
+
+    def _install(self, heartbeat, now):
+        self.heartbeat = heartbeat
+        # A process that announced its departure never serves again.
+        self.has_left = heartbeat.is_draining or self.departures.includes(
+            heartbeat
+        )
+        self._delayed_sequence = self._claimed_slots = None
+        self._record_life(now)
+
+    def _renew(self, heartbeat, now):
+        """Apply a heartbeat of the current process."""
+        # True of the process also if it is delayed.
+        self.has_left = self.has_left or heartbeat.is_draining
+        if not self._is_live(heartbeat):
+            self._delayed_sequence = heartbeat.sequence
+            return
+        self._delayed_sequence = None
+        self.heartbeat = attrs.evolve(
+            heartbeat, slots=self._confirm_slots(heartbeat.slots)
+        )
+        self._record_life(now)
+
+    def _is_live(self, heartbeat):
+        """Tell whether a heartbeat is not a delayed one.
+
+        Several with low numbers that grow mean that a higher one was wrong.
+        """
+        latest, delayed = self.heartbeat.sequence, self._delayed_sequence
+        return heartbeat.sequence > latest or (
+            delayed is not None and heartbeat.sequence > delayed
+        )
 
-def _sort_key(heartbeat):
-    return heartbeat.born_ms, heartbeat.sequence
+    def _confirm_slots(self, slots):
+        """Return the slots to use; another number counts once repeated."""
+        in_use = self.heartbeat.slots
+        is_repeated = slots == self._claimed_slots
+        self._claimed_slots = None if slots == in_use else slots
+        return slots if is_repeated else in_use
 
+    def _record_life(self, now):
+        self.heard_at = now
+        self.is_unreachable = False
+        self._candidate = None
 
-def _process_key(heartbeat):
-    return heartbeat.instance, heartbeat.born_ms, heartbeat.service
+
+def find_fault(heartbeat, address, service, wall_ms):
+    """Return why a heartbeat is not from the local backend server, or None.
+
+    :param heartbeat: :class:`protocol.Heartbeat`.
+    :param address: ``IP:port`` of the local backend server.
+    :param service: its service, empty if unknown.
+    :param wall_ms: wall clock time in milliseconds.
+    """
+    if heartbeat.address != address:
+        return 'other address'
+    if service and heartbeat.service != service:
+        return 'other service'
+    if heartbeat.born_ms > wall_ms + MAX_START_AHEAD_MS:
+        return 'start in the future'
+    return None
+
+
+def _is_same_process(heartbeat, other):
+    return (heartbeat.instance, heartbeat.born_ms) == (
+        other.instance,
+        other.born_ms,
+    )
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -52,6 +52,7 @@
 
     :param name: name of this daemon.
     :param address: ``IP:port`` of the backend server.
+    :param service: service of the backend server, empty if unknown.
     :param protocol: :class:`protocol.BackendProtocol`.
     :param config: :class:`_config.Config`.
     :param marks: :class:`_marks.Marks`.
@@ -62,9 +63,19 @@
     """
 
     def __init__(
-        self, name, address, protocol, config, marks, log, metrics, now
+        self,
+        name,
+        address,
+        service,
+        protocol,
+        config,
+        marks,
+        log,
+        metrics,
+        now,
     ):
         self._address = address
+        self._expected_service = service
         self._protocol = protocol
         self._config = config
         self._marks = marks
@@ -167,7 +178,16 @@
         """Apply a heartbeat of the backend server.
 
         :param heartbeat: :class:`protocol.Heartbeat`.
+        :raises ValueError: when it is not from the local backend server.
         """
+        fault = _backend_server.find_fault(
+            heartbeat,
+            self._address,
+            self._expected_service,
+            time.time_ns() // NS_PER_MS,
+        )
+        if fault is not None:
+            raise ValueError(fault)
         was_serving = self._state.is_serving(self._now())
         is_new = self._state.apply_heartbeat(heartbeat, self._now())
         if is_new:
@@ -350,10 +370,7 @@
         if error.kind is _E.OVERLOADED:
             run.outcome = _O.SHED
         elif error.kind is _E.NO_BACKEND_SERVER:
-            # The connections of a former process say nothing of its successor.
-            if run.gate is self._gate:
-                self._state.has_left = True
-                self.on_change()
+            await self._handle_unreachable(run.delivery)
         elif error.kind is _E.BACKEND_SERVER_FAILED:
             run.outcome = _O.ERROR
             if error.detail == _delivery.UNREACHABLE:
@@ -379,7 +396,7 @@
         """Pause new calls and report crash marks of the lost ones."""
         if delivery is not self._delivery or self._state.is_unreachable:
             return
-        self._state.is_unreachable = True
+        self._state.record_loss(self._now())
         self._log.record(
             _V.BACKEND_SERVER_LOST,
             service=self.service,
@@ -463,7 +480,7 @@
                 newest_first=False,
                 awaits_first_response=True,
             ),
-            ramp_s=heartbeat.cold_left_s,
+            ramp_s=min(heartbeat.cold_left_s, _backend_server.MAX_WARM_UP_S),
         )
         self._gate = _gate.AdmissionGate(admission, self._now)
         self._delivery.on_metadata = functools.partial(
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -330,6 +330,7 @@
         self._owner = _owner.Owner(
             self._settings.name,
             self._host_context.backend_server,
+            self._host_context.service,
             backend_protocol,
             plane.installed,
             self._marks,
--- a/daemon/src/cactusloftd/resident/protocol.py
+++ b/daemon/src/cactusloftd/resident/protocol.py
@@ -53,6 +53,7 @@
     :ivar slots: number of calls that it can run concurrently.
     :ivar is_draining: whether it accepts no new calls.
     :ivar cold_left_s: remaining seconds of its warm-up, while it is slow.
+    :ivar address: ``IP:port`` at which it accepts calls.
     """
 
     instance: str
@@ -62,6 +63,7 @@
     slots: int
     is_draining: bool
     cold_left_s: float
+    address: str = ''
 
 
 @attrs.frozen
