Split calls by weights whose sum is not finite

Two weights of 1e308 gave 99 of 100 calls to one service, as credits became infinite. Weights are taken relative to the largest. The test failed before.

--- a/daemon/src/cactusloftd/resident/_splits.py
+++ b/daemon/src/cactusloftd/resident/_splits.py
@@ -25,10 +25,13 @@
         if len(route.split) < 2:
             return route.service
         credits = self._find_credits(route)
+        # Relative to the largest weight, as the sum may exceed all floats.
+        largest = max(share.weight for share in route.split)
         total = 0.0
         for share in route.split:
-            credits[share.service] += share.weight
-            total += share.weight
+            weight = share.weight / largest
+            credits[share.service] += weight
+            total += weight
         chosen = max(credits, key=credits.get)
         credits[chosen] -= total
         return chosen
--- a/daemon/tests/resident/test_splits.py
+++ b/daemon/tests/resident/test_splits.py
@@ -46,3 +46,11 @@
         chooser.choose(make_route(1, 99))
     chosen = {chooser.choose(make_route(100, 0)) for _ in range(50)}
     assert chosen == {'a'}
+
+
+def test_sum_of_large_weights_gives_all_calls_to_one_service():
+    """The sum of the weights exceeds the largest float."""
+    chooser = _splits.SplitChooser()
+    route = make_route(1e308, 1e308)
+    counts = collections.Counter(chooser.choose(route) for _ in range(100))
+    assert counts == {'a': 50, 'b': 50}
