--- a/libs/model/src/cactusloft_model/document.py
+++ b/libs/model/src/cactusloft_model/document.py
@@ -5,6 +5,7 @@
 from cactusloft_model._document import EMPTY_DOCUMENT
 from cactusloft_model._document import MAX_BODY_BYTES
 from cactusloft_model._document import MAX_DOCUMENT_BYTES
+from cactusloft_model._document import MAX_TARGET_EXCESS_MS
 from cactusloft_model._document import parse_document
 from cactusloft_model._document import patch_document
 from cactusloft_model._document import Service
@@ -22,6 +23,7 @@
     'EMPTY_DOCUMENT',
     'MAX_BODY_BYTES',
     'MAX_DOCUMENT_BYTES',
+    'MAX_TARGET_EXCESS_MS',
     'Route',
     'Section',
     'Service',
