Resume reading of pooled connections after large responses

Cause: reading is paused when the buffered body passes 64 KiB, and only the reader of a streamed body resumed it. A body whose end arrives in the same piece is taken whole, and its connection went to the pool paused.

Change: a connection that goes back to the pool reads on.

--- a/daemon/src/cactusloftd/resident/_exchange.py
+++ b/daemon/src/cactusloftd/resident/_exchange.py
@@ -187,6 +187,10 @@
         self.idle_since = now
         if not is_complete or not self.is_reusable:
             self.abort()
+            return
+        # Paused if the end of the body arrived together with so much that the
+        # body was taken whole, or if its reader stopped early.
+        self._resume_reading()
 
     def abort(self):
         """Close the connection at once."""
--- a/daemon/tests/resident/test_delivery.py
+++ b/daemon/tests/resident/test_delivery.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+import pytest
 from returns import result
 
 from cactusloft_model import calls
@@ -154,3 +155,58 @@
         return False
 
     assert asyncio.run(run())
+
+
+KIB = 1024
+
+
+async def _serve_bodies(reader, writer, sizes):
+    """Answer each request with a body of the size for its id."""
+    while True:
+        try:
+            head = await reader.readuntil(b'\r\n\r\n')
+        except asyncio.IncompleteReadError:
+            return
+        call_id = head.split(b'X-Id: ')[1].split(b'\r\n')[0].decode()
+        size = sizes[call_id]
+        writer.write(
+            f'HTTP/1.1 200 S\r\nX-Id: {call_id}\r\n'
+            f'Content-Length: {size}\r\n\r\n'.encode()
+            + b'b' * size
+        )
+
+
+@pytest.mark.parametrize('is_slow', [False, True])
+@pytest.mark.parametrize(
+    'size',
+    [KIB, *range(64 * KIB - 2, 64 * KIB + 3), 66_000, 72 * KIB, 1024 * KIB],
+)
+def test_answer_after_a_large_response_is_never_read(size, is_slow):
+    """Reading was paused for the large body and must go on for the next."""
+
+    async def run():
+        sizes = {'d1': size, 'o1': 10, 'd2': size, 'o2': 10}
+        server, port = await servers.start(
+            lambda reader, writer: _serve_bodies(reader, writer, sizes)
+        )
+        now = asyncio.get_running_loop().time
+        delivery = _delivery.Delivery(
+            f'127.0.0.1:{port}', 'i-1', Protocol(), now
+        )
+        received = []
+        for call_id in sizes:
+            outcome = await asyncio.wait_for(
+                delivery.send(make_call(now(), call_id)), DEADLINE_S
+            )
+            response = outcome.unwrap()
+            length = 0
+            async for chunk in response.chunks:
+                length += len(chunk)
+                await asyncio.sleep(0.01 if is_slow and length < size else 0)
+            await response.close()
+            received.append(length)
+        delivery.close()
+        server.close()
+        return received
+
+    assert asyncio.run(run()) == [size, 10, size, 10]
