Close responses that wait for their turn when the client leaves

Cause: the second response was ready and waited for the first one; its task was cancelled there, and nobody closed it, which releases the slot.

Evidence: test_response_that_waits_for_its_turn_keeps_a_slot failed before.

--- a/daemon/src/cactusloftd/resident/_http_connection.py
+++ b/daemon/src/cactusloftd/resident/_http_connection.py
@@ -237,7 +237,11 @@
 
     async def _serve(self, exchange):
         http_response = await self._listener.handle(exchange.request)
-        await exchange.turn
+        try:
+            await exchange.turn
+        except asyncio.CancelledError:
+            await _close_response(http_response)
+            raise
         is_last = http_response.is_last or not exchange.keeps_alive
         if is_last and len(self._running) > 1:
             # The responses to the requests behind it are still written, since
@@ -325,6 +329,12 @@
             raise _calls.ResponseCut(f'{written} of {length} bytes')
 
 
+async def _close_response(http_response):
+    """Release what a response holds that is not written."""
+    if http_response.response is not None:
+        await http_response.response.close()
+
+
 def _write_head(status, headers, length, is_last):
     """Return the status line and headers of a response as bytes.
 
--- a/daemon/tests/resident/test_http_listener.py
+++ b/daemon/tests/resident/test_http_listener.py
@@ -276,6 +276,40 @@
     assert handler.cancelled == len(handler.requests) == 2
 
 
+def test_response_that_waits_for_its_turn_keeps_a_slot():
+    """The client leaves while the first of two responses is not ready."""
+    closed = []
+
+    async def handle(request):
+        if request.target == '/one':
+            await asyncio.sleep(10.0)
+        return _http_messages.HttpResponse(
+            200,
+            (),
+            response=_calls.Response(
+                200,
+                (),
+                1,
+                _calls.iterate_once(b'x'),
+                lambda: close(request.target),
+            ),
+        )
+
+    async def close(target):
+        closed.append(target)
+
+    async def run():
+        listener, _, _, writer = await open_listener(handle)
+        writer.write(GET % b'one' + GET % b'two' + GET % b'three')
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        await listener.close()
+
+    asyncio.run(run())
+    assert sorted(closed) == ['/three', '/two']
+
+
 def test_malformed_input_behind_a_request_keeps_its_response():
     """Bytes that are no request must not cost the request before them."""
     received, handler, _ = exchange(
