Close the first error response when its retry is cancelled

Evidence: test_error_response_keeps_a_slot_while_the_call_is_retried failed for the cancelled request before.

--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -90,6 +90,11 @@
         self.sends += 1
         self.reached.add(name)
 
+    async def close_failed_outcome(self):
+        """Release what the first error response holds, if there is one."""
+        if self.failed_outcome is not None:
+            await self.failed_outcome.unwrap().close()
+
     def settle(self, outcome, retry_after_s):
         """Return the outcome for the client.
 
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -5,6 +5,8 @@
 assumes that it may have run.
 """
 
+import asyncio
+
 from returns import pipeline
 from returns import result
 
@@ -237,6 +239,9 @@
         try:
             with link.limit(timeout_s):
                 outcome = await self._run_attempt(attempt)
+        except asyncio.CancelledError:
+            await attempt.close_failed_outcome()
+            raise
         except TimeoutError:
             outcome = _calls.fail(_E.DEADLINE_EXCEEDED)
             attempt.may_have_run |= attempt.is_in_flight
@@ -249,9 +254,8 @@
             self._placing.find_full_share(context.service),
         )
         final_outcome = attempt.settle(outcome, retry_after_s)
-        unused = attempt.failed_outcome
-        if unused is not None and unused is not final_outcome:
-            await unused.unwrap().close()
+        if final_outcome is not attempt.failed_outcome:
+            await attempt.close_failed_outcome()
         return final_outcome
 
     async def _run_attempt(self, attempt):
--- a/daemon/tests/resident/test_entry.py
+++ b/daemon/tests/resident/test_entry.py
@@ -161,3 +161,29 @@
 
     members = asyncio.run(run())
     assert 1 <= len(members[1].calls) <= 0.2 * 50 + _entry.RETRY_RESERVE
+
+
+@pytest.mark.parametrize('is_cancelled', [False, True])
+def test_error_response_keeps_a_slot_while_the_call_is_retried(is_cancelled):
+    """The first response must be closed however the request ends."""
+    closed = []
+
+    async def close():
+        closed.append(True)
+
+    async def run():
+        failed = stubs.succeed(500)
+        failed.unwrap().close = close
+        # The second owner never responds.
+        entry = stubs.make_entry(*stubs.make_members(failed, None))
+        task = asyncio.create_task(entry.serve(stubs.make_request(), 'track'))
+        await asyncio.sleep(0.05)
+        if is_cancelled:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return
+        response = (await task).unwrap()
+        await response.close()
+
+    asyncio.run(run())
+    assert closed == [True]
