Finish responses from other hosts before a planned stop ends

Cause: the stop waits for requests whose response has not arrived and for the calls of the local owner. A body from another host's owner was counted nowhere once its head had arrived.

Change: the stop also waits, until the same end, while the callers' listener handles requests or has unsent bytes.

--- a/daemon/src/cactusloftd/resident/_http_connection.py
+++ b/daemon/src/cactusloftd/resident/_http_connection.py
@@ -128,8 +128,8 @@
 
     @property
     def is_busy(self):
-        """Tell whether requests are being handled."""
-        return bool(self._running)
+        """Tell whether requests are handled or responses are being sent."""
+        return bool(self._running or self._transport.get_write_buffer_size())
 
     def close_when_idle(self):
         """Close after the responses to the requests that are handled now."""
--- a/daemon/src/cactusloftd/resident/_http_listener.py
+++ b/daemon/src/cactusloftd/resident/_http_listener.py
@@ -61,6 +61,11 @@
             self._expire_connections, self._log
         )
 
+    @property
+    def is_busy(self):
+        """Tell whether requests are handled or responses are being sent."""
+        return any(connection.is_busy for connection in self._connections)
+
     def stop_listening(self):
         """Refuse new connections; existing ones continue."""
         self._server.close()
@@ -73,9 +78,7 @@
             connection.close_when_idle()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + MAX_CLOSE_S
-        while loop.time() < deadline and any(
-            connection.is_busy for connection in self._connections
-        ):
+        while loop.time() < deadline and self.is_busy:
             await asyncio.sleep(CLOSE_POLL_S)
         for connection in list(self._connections):
             connection.close()
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -232,11 +232,14 @@
             await asyncio.sleep(FAILURE_POLL_S)
         await asyncio.sleep(RESTART_DELAY_S)
 
-    async def shut_down(self, stop_listening):
+    async def shut_down(self, stop_listening, is_responding):
         """Accept no new requests and wait for those in progress.
 
         :param stop_listening: function that stops accepting connections;
             called once callers had time to detect the shutdown.
+        :param is_responding: function that tells whether responses to callers
+            are still being sent. Those from other hosts are counted nowhere
+            else once their head has arrived.
         """
         self._stop.begin()
         self.log.record(
@@ -248,7 +251,9 @@
             await self._members.report_now()
             await self._sleep_until(self._stop.notice_until)
         stop_listening()
-        while self._now() < self._stop.exit_at and self._is_busy():
+        while self._now() < self._stop.exit_at and (
+            self._is_busy() or is_responding()
+        ):
             await asyncio.sleep(SHUTDOWN_POLL_S)
         # Without a pause since the last look, so that no request is passed on
         # in between and cut off by the close.
--- a/daemon/tests/resident/test_stopping.py
+++ b/daemon/tests/resident/test_stopping.py
@@ -89,7 +89,7 @@
     def stop_listening():
         taken.append(resident.takes(clock.now + 1.0))
 
-    asyncio.run(resident.shut_down(stop_listening))
+    asyncio.run(resident.shut_down(stop_listening, lambda: False))
     taken.append(resident.takes(clock.now + 1.0))
     assert taken == [True, False]
     assert resident.is_stopping
