--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -88,9 +88,7 @@
     async def serve(self, stream, frame):
         """Serve one call; the stream handler of ``CallStart``."""
         start = frame.message
-        body = frame.payload
-        while len(body) < start.body_bytes:
-            body += (await stream.receive()).payload
+        body = await _receive_request_body(stream, frame)
         # Time that the message spent in queues counts towards the deadline.
         deadline = self._now() + start.remaining_ms / 1000 - stream.age_s
         call = _make_call(start, body, deadline)
@@ -111,6 +109,15 @@
             await response.close()
 
 
+async def _receive_request_body(stream, first_frame):
+    """Return the whole body of a request, in time linear in its size."""
+    parts, size = [first_frame.payload], len(first_frame.payload)
+    while size < first_frame.message.body_bytes:
+        parts.append((await stream.receive()).payload)
+        size += len(parts[-1])
+    return b''.join(parts)
+
+
 def _is_final(message):
     """Return whether ``message`` is the last one of the owner."""
     if isinstance(message, _messages.Refusal):
