Tell other hosts of departures of processes that are not current

After a restart of the daemon, a delayed heartbeat of a predecessor may make it the current process; the departure of the actual one was then remembered by this daemon only. It now goes to the home with the next reports.

--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -14,6 +14,7 @@
 
 from cactusloft_admission import controller
 from cactusloft_admission import pressure
+from cactusloft_membership import registry
 from cactusloft_model import calls
 from cactusloft_model import errors
 from cactusloft_model import events
@@ -60,6 +61,9 @@
     :param metrics: :class:`_metrics.Metrics`.
     :param now: function that returns monotonic time in seconds.
     :ivar on_change: function called when the registration has changed.
+    :ivar on_other_departure: function called with a
+        :class:`registry.BackendProcess` that announced its departure and is
+        not the current one, as after a delayed heartbeat of its predecessor.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         metrics,
         now,
     ):
+        self._name = name
         self._address = address
         self._expected_service = service
         self._protocol = protocol
@@ -92,6 +97,7 @@
         self._running = {}
         self._is_stopping = False
         self.on_change = lambda: None
+        self.on_other_departure = lambda process: None
 
     @property
     def heartbeat(self):
@@ -209,7 +215,13 @@
         """
         had_left = self._state.has_left
         wall_ms = time.time_ns() // NS_PER_MS
-        if self._state.leave(instance, born_ms, wall_ms) and not had_left:
+        if not self._state.leave(instance, born_ms, wall_ms):
+            if born_ms is not None:
+                self.on_other_departure(
+                    registry.BackendProcess(self._name, instance, born_ms)
+                )
+            return
+        if not had_left:
             self._log_draining(instance)
             self.on_change()
 
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -344,6 +344,7 @@
             self._now,
         )
         self._owner.on_change = self._registration_changed.set
+        self._owner.on_other_departure = members.record_departure
         self._entry = _entry.Entry(
             self._settings,
             plane.installed,
--- a/daemon/tests/resident/test_owner.py
+++ b/daemon/tests/resident/test_owner.py
@@ -272,3 +272,21 @@
             return load_before, load_after
 
     assert asyncio.run(run()) == (1.0, 1 / HEARTBEAT.slots)
+
+
+def test_departure_of_another_process_is_known_to_one_host():
+    """A delayed heartbeat of its predecessor may have come first."""
+
+    async def run():
+        async with Bench() as bench:
+            others = []
+            bench.owner.on_other_departure = others.append
+            bench.owner.leave('i-2', 200)
+            bench.owner.leave('i-3', None)
+            assert bench.owner.is_serving
+            bench.owner.leave('i-1', 100)
+            return others, bench.owner.is_leaving
+
+    others, is_leaving = asyncio.run(run())
+    assert others == [registry.BackendProcess('here', 'i-2', 200)]
+    assert is_leaving
