Log what delays a change: elections, syncs, blocked loops, moved watches

Change, no decision altered: a replica logs each change of role, term or leader (ROLE_CHANGED) and syncs over 0.1 s (SYNC_SLOW); a daemon logs why it left a control host, how long that took and how old its confirmation was (CONTROL_HOST_LEFT), from where and how late it installed a version (DOCUMENT_INSTALLED), and when its event loop stood still (LOOP_BLOCKED); changes without a decision (CHANGE_UNDECIDED) and refused reads (READ_REFUSED) leave a line.

Measured: libs/consensus, libs/model and the tests of installation, watch and control failures pass (130 passed).

--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -136,6 +136,7 @@
             now,
             on_change,
             self._log_failure,
+            record=log.record,
         )
         peer_node.handle_requests(_messages.ReplicaMessage, self._receive)
 
@@ -247,8 +248,7 @@
         if self._count_voters() < self._min_voters:
             # A change stored on fewer disks could be lost with one of them.
             detail = f'fewer than {self._min_voters} voters'
-            error = errors.CallError(_E.CONTROL_UNAVAILABLE, detail)
-            return refuse(error)
+            return self._refuse_change(request, _E.CONTROL_UNAVAILABLE, detail)
         # Parse in a thread: parsing a new text may take longer than the
         # election timeout.
         parsed = await asyncio.to_thread(self._parser.parse, request.text)
@@ -294,8 +294,9 @@
             )
 
     def _refuse_change(self, request, kind, detail):
+        is_decided = kind is not _E.CONTROL_UNAVAILABLE
         self._log.record(
-            _V.DOCUMENT_REFUSED,
+            _V.DOCUMENT_REFUSED if is_decided else _V.CHANGE_UNDECIDED,
             change_id=request.change_id,
             base_version=request.base_version,
             fault=detail,
--- a/daemon/src/cactusloftd/_installed.py
+++ b/daemon/src/cactusloftd/_installed.py
@@ -96,13 +96,14 @@
             return None
         return kept.sections
 
-    def update(self, version, confirmed_at, make_document):
+    def update(self, version, confirmed_at, make_document, source=''):
         """Install a version of a control host or replica, and confirm it.
 
         :param version: :class:`Version` in force there.
         :param confirmed_at: monotonic seconds of the confirmation, or None.
         :param make_document: function called if the version is to be
             installed; returns ``Success(Document)`` or ``Failure(faults)``.
+        :param source: name of the control host, for the log.
         :returns: whether a new version was installed.
         """
         if confirmed_at is None or confirmed_at <= self._started_at:
@@ -113,6 +114,8 @@
             return False
         previous = self.confirmed_at or confirmed_at
         self.confirmed_at = max(previous, confirmed_at)
+        if is_new:
+            self._log_installed(confirmed_at, previous, source)
         self.is_fresh()
         return is_new
 
@@ -133,5 +136,14 @@
         )
         if len(self._kept) > self._max_kept:
             self._kept.popitem(last=False)
-        self._log.record(_V.DOCUMENT_INSTALLED, version=version.number)
         return True
+
+    def _log_installed(self, confirmed_at, previous, source):
+        now = self._now()
+        self._log.record(
+            _V.DOCUMENT_INSTALLED,
+            version=self.version.number,
+            source=source,
+            age_s=round(now - confirmed_at, 3),
+            previous_age_s=round(now - previous, 3),
+        )
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -109,8 +109,12 @@
                 await asyncio.sleep(REPLICA_POLL_INTERVAL_S)
                 continue
             home = self.find_home()
-            if home is None or not await self._watch(home):
-                self._move()
+            begun_at = self._now()
+            fault = 'no control host is known'
+            if home is not None:
+                fault = await self._watch(home)
+            if fault:
+                self._move(home, fault, self._now() - begun_at)
                 await asyncio.sleep(RETRY_DELAY_S)
 
     def install_from_replica(self):
@@ -133,7 +137,10 @@
             self._start_parsing(store.text)
         else:
             self._install(
-                version, confirmed_at, lambda: self._parser.parse(store.text)
+                version,
+                confirmed_at,
+                lambda: self._parser.parse(store.text),
+                self._name,
             )
         return self._now() - confirmed_at < MAX_REPLICA_AGE_S
 
@@ -154,12 +161,21 @@
             self._parse_task = None
         self.install_from_replica()
 
-    def _move(self):
+    def _move(self, host, fault, waited_s):
         """Switch to the next control host."""
         self._rotation.advance()
+        if host is None:
+            return
+        self._log.record(
+            _V.CONTROL_HOST_LEFT,
+            control_host=host.name,
+            fault=fault,
+            waited_s=round(waited_s, 3),
+            age_s=round(self._installed.age_s, 3),
+        )
 
     async def _watch(self, host):
-        """Poll ``host`` once; tell whether to go on with it."""
+        """Poll ``host`` once; return why not to go on with it, or empty."""
         is_first = host.name != self._watched_name
         if is_first:
             # Table versions are those of one control host.
@@ -167,7 +183,7 @@
             self._watched_name = host.name
         peer = self._node.connect(host.address)
         if not await peer.wait_until_up(CONNECT_TIMEOUT_S):
-            return False
+            return 'not connected'
         self._report_due.clear()
         hold_time_s = RELAY_HOLD_TIME_S if self._is_relay else HOLD_TIME_S
         timeout_s = hold_time_s + REPLY_MARGIN_S
@@ -188,10 +204,10 @@
         sent_at = self._now()
         reply = await self._request(peer, watch, timeout_s)
         if reply is None:
-            return True
+            return ''
         if not pipeline.is_successful(reply):
             self._log.record(_V.CONTROL_HOST_SILENT, control_host=host.name)
-            return False
+            return 'no response'
         is_recent = self._apply_answer(reply.unwrap(), sent_at, base)
         answer = reply.unwrap()
         has_group = answer.group in (None, self.group)
@@ -205,7 +221,7 @@
             # is invalid here. The control host would answer the next poll at
             # once.
             await asyncio.sleep(RETRY_DELAY_S)
-        return is_recent
+        return '' if is_recent else 'its confirmation is old'
 
     async def _request(self, peer, watch, timeout_s):
         """Return the reply, or None if a new report is due first."""
@@ -242,7 +258,12 @@
             self.relays = answer.relays + 1
             self._update_group(answer.group)
         version = _installed.Version(answer.version, answer.change_id)
-        self._install(version, confirmed_at, lambda: _patch(base, answer))
+        self._install(
+            version,
+            confirmed_at,
+            lambda: _patch(base, answer),
+            self._watched_name,
+        )
         return self._now() - confirmed_at < MAX_HOME_AGE_S
 
     def _apply_table(self, table):
@@ -271,8 +292,10 @@
             self._control_hosts.update_members(group.members)
             self._on_change()
 
-    def _install(self, version, confirmed_at, make_document):
-        if self._installed.update(version, confirmed_at, make_document):
+    def _install(self, version, confirmed_at, make_document, source):
+        if self._installed.update(
+            version, confirmed_at, make_document, source
+        ):
             self._on_change()
 
 
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -24,6 +24,7 @@
 from cactusloftd import _jobs
 from cactusloftd import _leadership
 from cactusloftd import _link_events
+from cactusloftd import _loop_monitor
 from cactusloftd import _mark_relay
 from cactusloftd import _marks
 from cactusloftd import _members
@@ -110,6 +111,7 @@
         self._stop = _stopping.Stop(settings.shutdown_grace_s, self._now)
         self._reported_serving = False
         self._tasks = []
+        self._loop_monitor = _loop_monitor.LoopMonitor(self.log, self._now)
         self._create_group_clients()
         self._serve_control()
         self._create_entry(backend_protocol)
@@ -164,9 +166,11 @@
     def read_document(self):
         """Return the newest document text, or None if it may be outdated."""
         replica = self._plane.replica
-        if replica is None or replica.confirmed_at is None:
-            return None
-        if self._now() - replica.confirmed_at > MAX_READ_AGE_S:
+        age_s = float('inf')
+        if replica is not None and replica.confirmed_at is not None:
+            age_s = self._now() - replica.confirmed_at
+        if age_s > MAX_READ_AGE_S:
+            self.log.record(_V.READ_REFUSED, age_s=round(age_s, 3))
             return None
         return replica.store.text or None
 
@@ -177,7 +181,7 @@
         )
         self._plane.start()
         self._node.listen(self._settings.listeners.peers)
-        jobs = []
+        jobs = [self._loop_monitor.run]
         if self._plane.replica is not None:
             entry = _group_entry.GroupEntry(
                 self._plane,
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -17,8 +17,12 @@
 from cactusloft_consensus import _messages
 from cactusloft_consensus import _node
 from cactusloft_model import errors
+from cactusloft_model import events
 
 TICK_INTERVAL_S = 0.05
+# A sync that takes longer is logged: it delays votes and acknowledgements.
+SLOW_SYNC_S = 0.1
+_V = events.Event
 
 
 @attrs.frozen
@@ -41,6 +45,8 @@
     :param on_failure: function called with the reason when the replica stops
         because of a failed disk, an inconsistent log or an internal error.
     :param limits: :class:`CompactionLimits` of the log.
+    :param record: function called with an event and its fields, for changes
+        of the role and slow syncs.
     """
 
     def __init__(
@@ -53,6 +59,7 @@
         on_change,
         on_failure,
         limits=_applier.CompactionLimits(),
+        record=lambda event, **fields: None,
     ):
         self.store = store
         self.failure = ''
@@ -62,6 +69,8 @@
         self._read_clock = read_clock
         self._on_change = on_change
         self._on_failure = on_failure
+        self._record = record
+        self._reported_role = ()
         self._applier = _applier.Applier(node, store, limits)
         self._waiters = {}
         self._outputs = []
@@ -270,6 +279,7 @@
         """Carry out the output of the node after an input."""
         if self.failure:
             return
+        self._report_role()
         output = self._node.collect()
         applied = self._applier.apply(output)
         for applied_entry in applied:
@@ -283,6 +293,19 @@
         if applied or output.snapshot is not None:
             self._on_change()
 
+    def _report_role(self):
+        node = self._node
+        state = node.role, node.term, node.leader_id
+        if state != self._reported_role:
+            self._reported_role = state
+            self._record(
+                _V.ROLE_CHANGED,
+                role=node.role,
+                term=node.term,
+                leader=node.leader_id,
+                silence_s=round(self.leader_silence_s, 3),
+            )
+
     def _queue_sync(self, output):
         """Queue records to persist and the messages that wait for them."""
         if output.records or output.synced_messages:
@@ -330,15 +353,25 @@
             records = [r for output in outputs for r in output.records]
             try:
                 if records:
+                    begun_at = self._read_clock()
                     await loop.run_in_executor(
                         self._thread, self._storage.persist, records
                     )
+                    self._report_sync(self._read_clock() - begun_at, records)
             except OSError as error:
                 self._fail(f'the data folder cannot be written: {error}')
                 return
             if outputs:
                 self._complete_sync(outputs)
 
+    def _report_sync(self, duration_s, records):
+        if duration_s > SLOW_SYNC_S:
+            self._record(
+                _V.SYNC_SLOW,
+                duration_s=round(duration_s, 3),
+                records=len(records),
+            )
+
     def _complete_sync(self, outputs):
         for output in outputs:
             for envelope in output.synced_messages:
