Acknowledge a change once the daemons have installed it

What callers saw: a host that stood still for a moment refused a key, or served a route in its previous form, although the change had been acknowledged to the operator.

Cause: the leader acknowledged a change as soon as a majority of control replicas held it. Daemons learn of it afterwards, and nothing between the two steps is bounded by anything but their own speed. Class of fault: an acknowledgement that promises an effect elsewhere and does not wait for it.

--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -109,6 +109,8 @@
     :param now: function that returns monotonic seconds.
     :param on_change: function called when the document may have changed.
     :raises storage.StorageError: when the data folder cannot be used.
+    :ivar wait_until_installed: coroutine function(version) called before an
+        accepted change is acknowledged.
     """
 
     def __init__(self, settings, peer_node, log, parser, now, on_change):
@@ -118,6 +120,7 @@
         self._own_address = make_address(settings)
         self._sender_addresses = {}
         self._applied_version = 0
+        self.wait_until_installed = _wait_for_none
         self._min_voters = settings.least_voters
         files = storage.FolderFiles(settings.data_folder)
         opened, persisted = storage.open_storage(files, secrets.token_bytes)
@@ -276,6 +279,7 @@
             if applied.kind is documents.OutcomeKind.CHANGE_ID_REUSED:
                 detail = 'the change id belongs to another change'
             return self._refuse_change(request, _E.VERSION_CONFLICT, detail)
+        await self.wait_until_installed(applied.version)
         return make_answer(Applied(applied.version))
 
     def _count_voters(self):
@@ -327,6 +331,10 @@
         return _messages.MessageAck()
 
 
+async def _wait_for_none(_version):
+    """Acknowledge a change at once."""
+
+
 def make_answer(content):
     """Return a :class:`ControlReply` with ``content`` as JSON."""
     return _messages.ControlReply(None, msgspec.json.encode(content))
--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -9,6 +9,7 @@
 from cactusloftd import _jobs
 from cactusloftd import _messages
 from cactusloftd import _operators
+from cactusloftd import _rollout
 from cactusloftd import _texts
 from cactusloftd import _watch
 from cactusloftd import _watch_server
@@ -59,9 +60,18 @@
             self._parser,
             self._handle_installed,
         )
+        versions = _rollout.InstalledVersions(now)
         self.server = _watch_server.WatchServer(
-            self.installed, self.watcher, now
+            self.installed, self.watcher, now, versions
         )
+        self._rollout = None
+        if self._control is not None:
+            self._rollout = _rollout.Rollout(
+                settings.name, node, versions, self._control.replica, log
+            )
+            self._control.wait_until_installed = (
+                self._rollout.wait_until_installed
+            )
         self._operators = _operators.Operators(
             settings, node, self._control, now
         )
@@ -109,6 +119,7 @@
         self._node.handle_requests(_messages.Watch, self.server.handle_watch)
         self._operators.start()
         if self._control is not None:
+            self._rollout.start()
             self._control.start()
         self._task = _jobs.start_job(self.watcher.run, self._log)
 
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -13,6 +13,7 @@
 import cactusloft_quota as quota
 from cactusloft_retry import marks as retry_marks
 from cactusloftd import _rate_messages
+from cactusloftd import _rollout_messages
 
 
 @attrs.frozen
@@ -393,6 +394,8 @@
     26: ReplicaChange,
     27: ControlReply,
     28: ShowRequest,
+    29: _rollout_messages.RolloutQuery,
+    36: _rollout_messages.RolloutReply,
     12: Lookup,
     13: exchange.HomeUpdate,
     14: exchange.HomeAck,
--- /dev/null
+++ b/daemon/src/cactusloftd/_rollout_messages.py
@@ -0,0 +1,25 @@
+"""Messages about how far a version of the document has been installed."""
+
+import attrs
+
+
+@attrs.frozen
+class RolloutQuery:
+    """Question to a control host: who has not installed a version yet?
+
+    :ivar wait_ms: longest time to wait until all have installed it.
+    """
+
+    version: int
+    wait_ms: int
+
+
+@attrs.frozen
+class RolloutReply:
+    """Reply to :class:`RolloutQuery`.
+
+    :ivar lagging: daemons that watch the control host and have not reported
+        the version, and the control host itself if it lags.
+    """
+
+    lagging: tuple[str, ...]
--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -31,10 +31,12 @@
     :param installed: :class:`_installed.InstalledDocument`.
     :param watcher: :class:`_watch.Watcher` that keeps ``installed`` current.
     :param now: function that returns monotonic seconds.
+    :param versions: :class:`_rollout.InstalledVersions` to report to.
     """
 
-    def __init__(self, installed, watcher, now):
+    def __init__(self, installed, watcher, now, versions):
         self._installed = installed
+        self._versions = versions
         self._watcher = watcher
         self._now = now
         self._owners = {}
@@ -55,6 +57,7 @@
     async def handle_watch(self, watch, _age_s):
         """Answer at once after any change, else after the hold time."""
         received_at = self._now()
+        self._versions.record(watch.daemon, watch.version)
         deadline = received_at + min(watch.hold_ms / 1000, MAX_HOLD_TIME_S)
         while True:
             tables = self._exchange(watch)
--- a/daemon/tests/test_watch_server.py
+++ b/daemon/tests/test_watch_server.py
@@ -6,6 +6,7 @@
 from cactusloft_model import document
 from cactusloftd import _installed
 from cactusloftd import _messages
+from cactusloftd import _rollout
 from cactusloftd import _watch
 from cactusloftd import _watch_server
 
@@ -49,6 +50,7 @@
             InstalledDocument(lambda: now() - started_at),
             watcher,
             lambda: now() - started_at,
+            _rollout.InstalledVersions(now),
         )
         ages = []
         for _ in range(2):
