Confirm the leader before it answers reads and membership requests

Operators saw an older document or history, or a replica reported as missing, from a leader that had been suspended (SIGSTOP, a paused machine). Until its next tick it took itself for the leader, although its successor had acknowledged a change meanwhile.

`is_leader` says only that the replica has not heard of a successor yet. `Replica.confirm` now waits for a heartbeat round that began after the request and that a majority acknowledged. Any successor elected before the round would have kept that majority from acknowledging it, so the store holds all that was acknowledged before the request. No age has to be argued for. Changes go through the log and need no confirmation.

Not affected, by reading: `Resident.read_document` checks the age of the confirmation at the time of the read (1 s, against 2 s); debits and rate grants ask `Leadership.is_confirmed` at each grant.

--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -23,6 +23,8 @@
 
 SEND_TIMEOUT_S = 1.0
 APPLY_TIMEOUT_S = 5.0
+# A leader that no majority confirms steps down before this time has passed.
+CONFIRM_TIMEOUT_S = 1.5
 FORWARD_TIMEOUT_S = 6.0
 CONNECT_TIMEOUT_S = 0.5
 # Operators' requests wait this long for a leader: longer than an election.
@@ -193,6 +195,11 @@
         """
         if isinstance(request, _messages.ApplyRequest):
             return await self._apply(request)
+        # A leader that was suspended may have a successor and not know it yet.
+        # What it knows is older than what the successor has acknowledged.
+        confirmed = await self.replica.confirm(CONFIRM_TIMEOUT_S)
+        if not pipeline.is_successful(confirmed):
+            return refuse(confirmed.failure())
         store = self.replica.store
         if isinstance(request, _messages.HistoryRequest):
             return make_answer(store.list_revisions())
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -8,14 +8,13 @@
 import asyncio
 import concurrent.futures
 
-import attrs
-
 from returns import result
 
 from cactusloft_consensus import _applier
 from cactusloft_consensus import _documents
 from cactusloft_consensus import _messages
 from cactusloft_consensus import _node
+from cactusloft_consensus import _waiters
 from cactusloft_model import errors
 from cactusloft_model import events
 
@@ -25,13 +24,6 @@
 _V = events.Event
 
 
-@attrs.frozen
-class _Waiter:
-    term: int
-    future: asyncio.Future
-    on_decided: object
-
-
 class Replica:
     """Run one replica of a group.
 
@@ -73,6 +65,7 @@
         self._reported_role = ()
         self._applier = _applier.Applier(node, store, limits)
         self._waiters = {}
+        self._confirmations = _waiters.Confirmations()
         self._outputs = []
         self._has_output = asyncio.Event()
         self._thread = concurrent.futures.ThreadPoolExecutor(1)
@@ -232,6 +225,18 @@
         proposed = self._node.propose(change.encode(), self._read_clock())
         return await self._wait_for(proposed, timeout_s, on_decided)
 
+    async def confirm(self, timeout_s):
+        """Wait until a majority confirms anew that this replica leads.
+
+        The store then holds all changes acknowledged before this call.
+
+        :returns: ``Success(None)`` or ``Failure(CallError)``.
+        """
+        if not self.is_leader:
+            return _refuse('this replica is not the leader')
+        waiting = self._confirmations.wait(self._read_clock(), timeout_s)
+        return await waiting or _refuse('no majority confirmed the leader')
+
     async def add_member(self, replica_id, address, timeout_s):
         """Add a learner, which the leader promotes once it has caught up.
 
@@ -265,7 +270,9 @@
             return proposed
         entry = proposed.unwrap()
         future = asyncio.get_running_loop().create_future()
-        self._waiters[entry.index] = _Waiter(entry.term, future, on_decided)
+        self._waiters[entry.index] = _waiters.ChangeWaiter(
+            entry.term, future, on_decided
+        )
         self._process_output()
         try:
             async with asyncio.timeout(timeout_s):
@@ -290,6 +297,7 @@
         self._queue_sync(output)
         if not self._node.is_leader:
             self._fail_waiters('this replica is no longer the leader')
+        self._confirmations.resolve(self.confirmed_at)
         if applied or output.snapshot is not None:
             self._on_change()
 
@@ -325,6 +333,7 @@
             waiter.future.set_result(failure)
 
     def _fail_waiters(self, reason):
+        self._confirmations.fail(_refuse(reason))
         for waiter in self._waiters.values():
             if not waiter.future.done():
                 waiter.future.set_result(_refuse(reason))
