Check the confirmation of replicas that were suspended

A read of the configuration relies on one property: the store holds every change that was acknowledged before the confirmation. The simulated group checked it under crashes, cuts and losses, but no replica was ever suspended, and it was not checked between a message and the next tick, when a read may come.

--- a/libs/consensus/tests/conftest.py
+++ b/libs/consensus/tests/conftest.py
@@ -126,6 +126,7 @@
         self.random = random.Random(seed)
         self.hosts = {}
         self.blocked_links = set()
+        self.suspended = set()
         self.loss_probability = 0.0
         self.max_delay_s = 0.05
         self.sync_probability = 0.7
@@ -268,18 +269,24 @@
 
     def step(self):
         self.now += self.STEP_S
-        due = [item for item in self._in_flight if item[0] <= self.now]
-        self._in_flight = [i for i in self._in_flight if i[0] > self.now]
+        due = [item for item in self._in_flight if self._is_due(item)]
+        self._in_flight = [i for i in self._in_flight if not self._is_due(i)]
         for _, envelope, address in due:
             host = self.hosts.get(address)
             if host is not None and host.node is not None:
                 host.node.receive(envelope, self.now)
                 self._collect(host)
+                # A read may come between a message and the next tick.
+                self._check_confirmation(host)
         for host in self.hosts.values():
             self._step_host(host)
 
+    def _is_due(self, item):
+        due_at, _, address = item
+        return due_at <= self.now and address not in self.suspended
+
     def _step_host(self, host):
-        if host.node is None:
+        if host.node is None or host.address in self.suspended:
             return
         host.node.tick(self.now)
         self._collect(host)
--- a/libs/consensus/tests/test_group.py
+++ b/libs/consensus/tests/test_group.py
@@ -267,6 +267,37 @@
     assert len(accepted) > 10
 
 
+@pytest.mark.parametrize('seed', range(8))
+def test_confirmation_of_a_resumed_replica_covers_too_much(make_group, seed):
+    """A read would be answered without a change acknowledged before it.
+
+    Hosts are suspended for up to 3 s and read the messages of that time when
+    they continue. Others restart, and catch up from a snapshot.
+    """
+    group = make_group(3 if seed % 2 else 5, seed=seed)
+    group.loss_probability = 0.05
+    resumed = 0
+    for number in range(120):
+        address = group.random.choice(list(group.hosts))
+        if group.suspended and group.random.random() < 0.4:
+            group.suspended.clear()
+            resumed += 1
+        elif group.random.random() < 0.5:
+            group.suspended = {address}
+        else:
+            group.crash(address)
+            group.run_for(group.random.uniform(0.0, 1.0))
+            group.restart(address)
+        _propose_changes(group, number)
+    group.suspended.clear()
+    accepted = [
+        o for o, _ in group.acknowledged.values() if o.kind is ACCEPTED
+    ]
+    assert resumed > 5 and len(accepted) > 20
+    _await_version(group, max(outcome.version for outcome in accepted))
+    group.run_until(lambda: _is_settled(group))
+
+
 @pytest.mark.parametrize('seed', range(6))
 def test_random_repairs(make_group, seed):
     """Acknowledged changes must survive the loss of one disk after another."""
