End a body that its client waits for past the timeout of the route

A body that did not move because its client did not read kept its slot for ever.

Cause: the entry bounded the wait for the head of a response only. The end of a body was bounded at the owner, by the deadline and two seconds, and between writes only; a frozen owner was bounded by the link's timeout alone.

Change: the entry gives each response the time by which its client must have all of it, the deadline and 0.2 s as for a head. The connection of the client is cut then, so that the body does not look complete, and the slot is freed.

--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -70,6 +70,8 @@
     :ivar is_caused_below: whether a nested call of the run failed.
     :ivar leaving_process: :class:`registry.BackendProcess` that responded, if
         it is about to leave, else None.
+    :ivar ends_at: time of the event loop in seconds by which the client must
+        have the whole body, else it is cut; None for no limit.
     """
 
     status: int
@@ -80,6 +82,7 @@
     is_replayed: bool = False
     is_caused_below: bool = False
     leaving_process: object = None
+    ends_at: float | None = None
 
 
 Outcome = result.Result[Response, errors.CallError]
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -135,7 +135,10 @@
         if isinstance(outcome, result.Failure):
             self._record_refusal(request, outcome.failure(), arrived_at, call)
         else:
-            self._record_response(call, outcome.unwrap(), arrived_at)
+            response = outcome.unwrap()
+            left_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
+            response.ends_at = asyncio.get_running_loop().time() + left_s
+            self._record_response(call, response, arrived_at)
         return outcome
 
     def _authorise(self, request):
--- a/daemon/src/cactusloftd/resident/_http_connection.py
+++ b/daemon/src/cactusloftd/resident/_http_connection.py
@@ -290,7 +290,7 @@
             if response.length is None or response.length > (
                 _calls.SMALL_BODY_BYTES
             ):
-                await self._write_chunks(request, http_response, is_last)
+                await self._write_in_time(request, http_response, is_last)
                 return
             body = b''.join([chunk async for chunk in response.chunks])
             if len(body) != response.length:
@@ -308,6 +308,22 @@
         )
         self._transport.write(head + body if has_body else head)
 
+    async def _write_in_time(self, request, http_response, is_last):
+        """Write a long body, or cut it at the time by which it must end.
+
+        The limit covers the waits for the body and for a client that does
+        not read. Either may last for ever and keep a slot.
+        """
+        ends_at = http_response.response.ends_at
+        if ends_at is None:
+            await self._write_chunks(request, http_response, is_last)
+            return
+        try:
+            with link.limit(ends_at - self._loop.time()):
+                await self._write_chunks(request, http_response, is_last)
+        except TimeoutError as error:
+            raise _calls.ResponseCut('not finished in time') from error
+
     async def _write_chunks(self, request, http_response, is_last):
         response = http_response.response
         length = response.length
