Bound the waits before the first owner by the deadline of the call

Cause: the deadline bounded only what follows these two waits.

Change: the wait for the members lies inside the limit of the attempt, the one for a debit has the deadline of its call. Both end as not run, and a token that was granted is returned.

--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -10,6 +10,7 @@
 
 from returns import result
 
+import cactusloft_link as link
 from cactusloft_model import errors
 import cactusloft_quota as quota
 from cactusloftd import _calls
@@ -72,7 +73,11 @@
         self._waiters[name].append(waiter)
         self._wake.set()
         try:
-            retry_after_s = await waiter
+            with link.limit(context.deadline - self._now()):
+                retry_after_s = await waiter
+        except TimeoutError:
+            self._return_granted_token(name, waiter)
+            return self._refuse_without_leader(context)
         except asyncio.CancelledError:
             self._return_granted_token(name, waiter)
             raise
@@ -145,6 +150,10 @@
         now = self._now()
         if holder.take_spare_token(account.rate, now, self._last_contact_at):
             return result.Success(None)
+        return self._refuse_without_leader(context)
+
+    def _refuse_without_leader(self, context):
+        now = self._now()
         return _calls.fail(
             _E.RATE_UNAVAILABLE,
             'no contact to the control leader',
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -235,7 +235,6 @@
 
     async def _try_owners(self, call, max_runs):
         """Try owners until one responds or the deadline passes."""
-        await self._members.prepare(call.context.service)
         attempt = _attempts.Attempt(call, max_runs)
         attempt.offers_left = self._placing.count_offers(call.context.service)
         timeout_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
@@ -263,6 +262,7 @@
 
     async def _run_attempt(self, attempt):
         call = attempt.call
+        await self._members.prepare(call.context.service)
         outcome = _calls.fail(
             _E.NO_BACKEND_SERVER, 'no member', _TRUE, NO_MEMBER_RETRY_AFTER_S
         )
--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -93,13 +93,19 @@
 
 
 class Members:
-    """Remote owners, chosen in the given order."""
+    """Remote owners, chosen in the given order.
+
+    :ivar prepare_s: seconds until the members of a service are known.
+    """
+
+    prepare_s = 0.0
 
     def __init__(self, members):
         self._members = members
 
     async def prepare(self, service):
-        pass
+        if self.prepare_s:
+            await asyncio.sleep(self.prepare_s)
 
     def choose(self, service, excluded):
         remaining = (m for m in self._members if m.name not in excluded)
@@ -164,11 +170,12 @@
     owner = LocalOwner()
     debits = Debits()
     stop = _stopping.Stop(GRACE_S, clock)
+    remote_owners = Members(members)
     entry = _entry.Entry(
         types.SimpleNamespace(name='here'),
         Config(is_fresh),
         owner,
-        Members(members),
+        remote_owners,
         debits,
         marks,
         stop,
@@ -178,6 +185,7 @@
     )
     entry.debits = debits
     entry.owner = owner
+    entry.members = remote_owners
     entry.stop = stop
     return entry
 
