Start the round of a traffic split at a random point

What callers saw: nothing on the deployments measured so far. A fleet of 70 or more entries would have missed the weights of a split by more than 0.2 over 200 calls (rule CONFIG, parts of a split), because each entry has had few of them.

Cause: every entry began the round of a split with the heaviest service, after each change of the weights and each start.

Change: each entry starts a split at a random point of its round; the counts of one entry still deviate by about one call.

With 16 entries 200 calls are 12 for each, so this is not what the operators saw.

--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 
 from returns import pipeline
 from returns import result
@@ -95,7 +96,7 @@
         self._log = log
         self._metrics = metrics
         self._now = now
-        self._splits = _splits.SplitChooser()
+        self._splits = _splits.SplitChooser(random.Random())
         self._budgets = {}
         self._placing = _placing.Placing()
 
