Let each lower limit apply its own delay after it was set

What callers saw: an account whose limit was lowered several times within five seconds of each other kept the first limit until five seconds after the last change (rule QUOTA: a lower limit binds one window after the change is known).

Cause: a further change replaced the pending limits and began the delay again.

Change: a bucket keeps former limits for five seconds each and uses the highest of those and the present ones.

--- a/libs/quota/src/cactusloft_quota/_debits.py
+++ b/libs/quota/src/cactusloft_quota/_debits.py
@@ -7,6 +7,7 @@
 bucket uses part of its former share for a limited time.
 """
 
+import collections
 import math
 
 import attrs
@@ -85,13 +86,15 @@
     """
 
     def __init__(self, rate, burst, since, now):
+        self._limits = rate, burst
+        # Earlier limits, and until when each of them may be used.
+        self._former_limits = collections.deque()
         self._rate = rate
         self._burst = burst
         self._level = 1.0
         self._refilled_at = since
         self._demands = {}
         self._decayed_at = now
-        self._pending_limits = None
 
     @property
     def level(self):
@@ -99,19 +102,17 @@
         return self._level
 
     def set_limits(self, rate, burst, now):
-        """Set rate and burst; lower ones apply after ``LOWERING_DELAY_S``."""
+        """Set rate and burst, at the time at which they change.
+
+        Higher ones apply at once. Each lower one applies
+        ``LOWERING_DELAY_S`` later, however often the limits change meanwhile.
+        """
         self._refill(now)
-        if rate >= self._rate and burst >= self._burst:
-            self._pending_limits = None
-            self._apply_limits(rate, burst)
+        if (rate, burst) == self._limits:
             return
-        if self._pending_limits is None or self._pending_limits[:2] != (
-            rate,
-            burst,
-        ):
-            self._pending_limits = rate, burst, now + LOWERING_DELAY_S
-        # A limit that was raised applies at once.
-        self._apply_limits(max(rate, self._rate), max(burst, self._burst))
+        self._former_limits.append((*self._limits, now + LOWERING_DELAY_S))
+        self._limits = rate, burst
+        self._apply_limits()
 
     def debit(self, holder, wanted, returned, now):
         """Take tokens for a holder.
@@ -132,16 +133,16 @@
             )
         return tokens, share, retry_after_s
 
-    def _apply_limits(self, rate, burst):
-        self._rate = rate
-        self._burst = burst
-        self._level = min(self._level, burst)
+    def _apply_limits(self):
+        """Use the highest of the present limits and the former ones."""
+        usable = [self._limits, *(f[:2] for f in self._former_limits)]
+        self._rate, self._burst = map(max, zip(*usable))
+        self._level = min(self._level, self._burst)
 
     def _refill(self, now):
-        if self._pending_limits is not None and now >= self._pending_limits[2]:
-            self._add_tokens(self._pending_limits[2])
-            self._apply_limits(*self._pending_limits[:2])
-            self._pending_limits = None
+        while self._former_limits and self._former_limits[0][2] <= now:
+            self._add_tokens(self._former_limits.popleft()[2])
+            self._apply_limits()
         self._add_tokens(now)
 
     def _add_tokens(self, now):
--- a/libs/quota/tests/test_debits.py
+++ b/libs/quota/tests/test_debits.py
@@ -49,6 +49,21 @@
     assert bucket.debit('h', 50, 0, 7.1)[0] <= 10
 
 
+def test_limits_lowered_in_steps_apply_late():
+    """Guards against a storm of changes that keeps the first limit in force.
+
+    Each limit must apply its own delay after it was set.
+    """
+    bucket = make_bucket()
+    for second in range(5):
+        bucket.set_limits(50.0 - second, 50.0 - second, float(second))
+    assert bucket.debit('h', 57, 57, 4.9)[0] == 57
+    bucket.set_limits(5.0, 5.0, 5.0)
+    assert bucket.debit('h', 500, 57, 5.1)[0] == 50
+    assert bucket.debit('h', 500, 57, 9.9)[0] == 46
+    assert bucket.debit('h', 500, 57, 10.1)[0] == 5
+
+
 def test_higher_limits_apply_at_once():
     """Guards against a raised limit that takes effect late."""
     bucket = quota.CentralBucket(5.0, 5.0, -100.0, 0.0)
