Count the delay of a lower limit from the change

Cause: the leader set the limits of a bucket when the account's next debit arrived, and the delay began there.

--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -194,11 +194,13 @@
         self._now = now
         self._term = None
         self._buckets = {}
+        self._document = config.current
 
     async def run(self):
-        """Poll for the start of a leadership, until cancelled."""
+        """Poll for a leadership and for new limits, until cancelled."""
         while True:
             self._leadership.is_confirmed()
+            self._follow_document()
             await asyncio.sleep(LEADER_POLL_INTERVAL_S)
 
     async def handle_debit(self, request, _age_s):
@@ -209,12 +211,28 @@
         if leadership.term != self._term:
             self._term = leadership.term
             self._buckets = {}
+        self._follow_document()
         grants = (self._debit(request.holder, d) for d in request.debits)
         return _rate_messages.DebitReply(
             tuple(grant for grant in grants if grant is not None),
             self._view.replica.replica_id,
         )
 
+    def _follow_document(self):
+        """Set changed limits, also of accounts without calls at present.
+
+        The delay of a lower limit counts from the change.
+        """
+        document = self._config.current
+        if document is self._document:
+            return
+        self._document = document
+        now = self._now()
+        for name, bucket in self._buckets.items():
+            account = document.accounts.get(name)
+            if account is not None and account.rate:
+                bucket.set_limits(account.rate, account.burst, now)
+
     def _debit(self, holder, debit):
         account = self._config.current.accounts.get(debit.client_account)
         if account is None or not account.rate:
@@ -225,7 +243,6 @@
             bucket = self._buckets[account.name] = quota.CentralBucket(
                 account.rate, account.burst, self._leadership.started_at, now
             )
-        bucket.set_limits(account.rate, account.burst, now)
         debited = bucket.debit(holder, debit.wanted, debit.returned, now)
         return quota.AccountGrant(account.name, *debited, bucket.level)
 
