Return only tokens to the leader that it has granted

Cause: the token of a call that has not run was returned to the leader, also one that the entry had taken from its spare tokens while it had no contact.

Change: the admission tells whether the token is one of the leader's, and only those are returned.

--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -57,16 +57,17 @@
         """Take a token from the account of a call, from the leader if needed.
 
         :param context: :class:`calls.CallContext`.
-        :returns: ``Success(None)`` or ``Failure(CallError)``.
+        :returns: ``Success`` of whether the token is one of the leader's, to
+            which it can be returned, or ``Failure(CallError)``.
         """
         name = context.client_account
         account = self._config.current.accounts.get(name)
         if account is None or not account.rate:
-            return result.Success(None)
+            return result.Success(False)
         holder = self._find_holder(name)
         holder.record_arrival()
         if holder.take(self._now()):
-            return result.Success(None)
+            return result.Success(True)
         if not self._has_contact:
             return self._admit_without_leader(account, holder, context)
         waiter = asyncio.get_running_loop().create_future()
@@ -87,13 +88,14 @@
             return _calls.fail(
                 _E.RATE_EXCEEDED, '', errors.NotRun.TRUE, retry_after_s
             )
-        return result.Success(None)
+        return result.Success(True)
 
     def return_token(self, context):
-        """Return the token of a call that is known not to have run."""
-        holder = self._holders.get(context.client_account)
-        if holder is not None:
-            holder.return_token()
+        """Return the token of a call that is known not to have run.
+
+        Only for a token of the leader, as :meth:`admit` tells.
+        """
+        self._holders[context.client_account].return_token()
 
     async def run(self):
         """Send debits when calls wait and return tokens, until cancelled."""
@@ -149,7 +151,7 @@
         """Admit a call without the leader if a spare token is left."""
         now = self._now()
         if holder.take_spare_token(account.rate, now, self._last_contact_at):
-            return result.Success(None)
+            return result.Success(False)
         return self._refuse_without_leader(context)
 
     def _refuse_without_leader(self, context):
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -230,7 +230,8 @@
             return admitted
         outcome = await self._try_owners(call, 1 + route.retries)
         is_failure = isinstance(outcome, result.Failure)
-        if is_failure and _attempts.is_not_run(outcome.failure()):
+        is_not_run = is_failure and _attempts.is_not_run(outcome.failure())
+        if is_not_run and admitted.unwrap():
             self._debits.return_token(call.context)
         return outcome
 
--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -124,7 +124,7 @@
     returned_tokens = 0
 
     async def admit(self, context):
-        return result.Success(None)
+        return result.Success(True)
 
     def return_token(self, context):
         self.returned_tokens += 1
--- a/daemon/tests/resident/test_debits.py
+++ b/daemon/tests/resident/test_debits.py
@@ -4,9 +4,13 @@
 import types
 
 from cactusloft_model import document
+from cactusloft_model import errors
 import cactusloft_quota as quota
+from cactusloftd import _metrics
 from cactusloftd.resident import _debits
 
+from . import entry_stubs as stubs
+
 HIGH, LOW = 50, 5
 # From the change until a lower limit must be in force.
 LOWERING_S = 5.0
@@ -74,3 +78,33 @@
         assert await leader.take(HIGH) == HIGH
 
     asyncio.run(run())
+
+
+def test_token_that_no_leader_granted_is_returned_to_it():
+    """The leader would grant it to another call: more than the rate."""
+
+    async def run():
+        entry = stubs.make_entry(*stubs.make_members(stubs.NOT_SERVING))
+        now = asyncio.get_running_loop().time
+        debits = _debits.Debits(
+            'here',
+            types.SimpleNamespace(read=None),
+            stubs.Config(),
+            None,
+            types.SimpleNamespace(handle_debit=None),
+            now,
+            _metrics.Metrics(),
+        )
+        # A grant leaves spare tokens, which calls use without a leader.
+        holder = debits._find_holder('estates')
+        grant = quota.AccountGrant('estates', 0, 1.0, 0.0, HIGH)
+        holder.apply_grant(grant, 0, now())
+        debits._last_contact_at = now()
+        debits._has_contact = False
+        entry._debits = debits
+        outcome = await entry.serve(stubs.make_request(), 'track')
+        assert outcome.failure().response.not_run is errors.NotRun.TRUE
+        assert outcome.failure().kind is errors.ErrorKind.NO_BACKEND_SERVER
+        return holder.make_debit('estates', 1, now()).returned
+
+    assert asyncio.run(run()) == 0
