--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 
 from returns import pipeline
 from returns import result
@@ -95,7 +96,7 @@
         self._log = log
         self._metrics = metrics
         self._now = now
-        self._splits = _splits.SplitChooser()
+        self._splits = _splits.SplitChooser(random.Random())
         self._budgets = {}
         self._placing = _placing.Placing()
 
@@ -135,7 +136,10 @@
         if isinstance(outcome, result.Failure):
             self._record_refusal(request, outcome.failure(), arrived_at, call)
         else:
-            self._record_response(call, outcome.unwrap(), arrived_at)
+            response = outcome.unwrap()
+            left_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
+            response.ends_at = asyncio.get_running_loop().time() + left_s
+            self._record_response(call, response, arrived_at)
         return outcome
 
     def _authorise(self, request):
@@ -226,13 +230,13 @@
             return admitted
         outcome = await self._try_owners(call, 1 + route.retries)
         is_failure = isinstance(outcome, result.Failure)
-        if is_failure and _attempts.is_not_run(outcome.failure()):
+        is_not_run = is_failure and _attempts.is_not_run(outcome.failure())
+        if is_not_run and admitted.unwrap():
             self._debits.return_token(call.context)
         return outcome
 
     async def _try_owners(self, call, max_runs):
         """Try owners until one responds or the deadline passes."""
-        await self._members.prepare(call.context.service)
         attempt = _attempts.Attempt(call, max_runs)
         attempt.offers_left = self._placing.count_offers(call.context.service)
         timeout_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
@@ -260,6 +264,7 @@
 
     async def _run_attempt(self, attempt):
         call = attempt.call
+        await self._members.prepare(call.context.service)
         outcome = _calls.fail(
             _E.NO_BACKEND_SERVER, 'no member', _TRUE, NO_MEMBER_RETRY_AFTER_S
         )
