Ask other control hosts before a late poll makes a change late

A change that was acknowledged while control hosts were silent, cut off or slow came into force at a host up to seven seconds later, where the bound is 2 s. A daemon asked one control host after another and waited for each: up to 2 s for the home, 0.5 s to connect, 0.8 s for each that followed, and 0.2 s between two. New reports cancelled the open poll and started its timeout again, so that a silent home was not noticed at all while reports came faster.

The times now count from the daemon's last confirmation, after which any change that it doesn't know was acknowledged. A poll is held up to an age of 1.5 s at most, and at 1.6 s other control hosts are asked in waves that double, while the poll of the home stays open. A home that is lost or not confirmed starts the search at once, at a pace that keeps an election from multiplying the polls. Probes carry no reports, so that a daemon registers with its home only; a home that answers late once stays the home. A control host that was asked goes to the end of the order, the one that confirmed becomes the next.

test_tables_go_both_ways read the table of the first watch at another host. That may be a probe now, which has none. The test reads all tables that are sent there.

--- a/daemon/src/cactusloftd/_control_hosts.py
+++ b/daemon/src/cactusloftd/_control_hosts.py
@@ -99,6 +99,23 @@
         self._refresh()
         self._order = self._order[1:] + self._order[:1]
 
+    def list_backups(self):
+        """Return the control hosts after the current one, in order."""
+        self._refresh()
+        return self._order[1:]
+
+    def put_last(self, host):
+        """Move a control host that may not answer to the end of the order."""
+        if host in self._order[1:]:
+            self._order.remove(host)
+            self._order.append(host)
+
+    def put_next(self, host):
+        """Move a control host that answered behind the current one."""
+        if host in self._order[1:]:
+            self._order.remove(host)
+            self._order.insert(1, host)
+
     def _refresh(self):
         """Apply added, removed and readdressed hosts to the order."""
         settings = self._settings
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -2,39 +2,45 @@
 
 import asyncio
 
+import attrs
 from returns import pipeline
 from returns import result
 
 from cactusloft_model import document
 from cactusloft_model import events
-from cactusloftd import _control
+from cactusloftd import _control_group
 from cactusloftd import _control_hosts
 from cactusloftd import _installed
 from cactusloftd import _internal_errors
 from cactusloftd import _messages
+from cactusloftd import _watch_search
+from cactusloftd import _watch_times
 
-HOLD_TIME_S = 1.0
-# Relays poll more often, so that a daemon that watches one stays within the
-# freshness bound while a control leader is elected (2.4 s without
-# confirmation).
-RELAY_HOLD_TIME_S = 0.25
-REPLY_MARGIN_S = 1.0
-CONNECT_TIMEOUT_S = 0.5
-# The first poll of a control host is answered at once. A link that was idle
-# looks up although its host is lost; two hosts that are lost together must not
-# delay a change by more than it may take to arrive.
-FIRST_REPLY_TIMEOUT_S = 0.8
-RETRY_DELAY_S = 0.2
-# A control host whose confirmation is older than this may be isolated. A
-# change must reach every daemon within 2 s of its acceptance, so the daemon
-# has to move to the next control host well before that.
-MAX_HOME_AGE_S = 1.2
 # A daemon doesn't poll while its local replica was confirmed within this time.
 MAX_REPLICA_AGE_S = 1.5
 REPLICA_POLL_INTERVAL_S = 0.1
+CONNECT_TIMEOUT_S = 0.5
+RETRY_DELAY_S = 0.2
+_NOT_CONNECTED = 'not connected'
+_NO_RESPONSE = 'no response'
 _V = events.Event
 
 
+@attrs.frozen
+class _Answer:
+    """Reply to a watch, and what was known when the watch was sent.
+
+    :ivar fault: why there is no reply, empty with one.
+    :ivar sent_at: monotonic seconds before the watch was sent.
+    :ivar base: document that was installed then.
+    """
+
+    fault: str
+    reply: _messages.WatchReply | None = None
+    sent_at: float = 0.0
+    base: document.Document = document.EMPTY_DOCUMENT
+
+
 class Watcher:
     """Keep the installed document and the attached tables current.
 
@@ -77,11 +83,15 @@
         self._on_change = on_change
         self._tables = {}
         self._known_versions = {}
-        self._report_due = asyncio.Event()
         self._has_fixed_document = bool(settings.document_file)
         self._control_hosts = settings.control_hosts
         self._rotation = _control_hosts.Rotation(settings, random_source)
         self._watched_name = ''
+        self._confirming_name = ''
+        self._open_poll = None
+        self._search = None
+        self._late_replies = 0
+        self._is_unconfirmed = False
         self._is_relay = _control_hosts.is_control_host(settings)
         self.relays = 0
         self.group = _messages.NO_GROUP
@@ -100,22 +110,26 @@
 
     def wake(self):
         """Send a new poll with fresh reports at once."""
-        self._report_due.set()
+        if self._open_poll is not None:
+            self._open_poll.cancel()
 
     async def run(self):
         """Watch until cancelled."""
-        while True:
-            if self.install_from_replica():
-                await asyncio.sleep(REPLICA_POLL_INTERVAL_S)
-                continue
-            home = self.find_home()
-            begun_at = self._now()
-            fault = 'no control host is known'
-            if home is not None:
-                fault = await self._watch(home)
-            if fault:
-                self._move(home, fault, self._now() - begun_at)
-                await asyncio.sleep(RETRY_DELAY_S)
+        try:
+            while True:
+                await self._run_once()
+        finally:
+            self._stop_search()
+
+    async def _run_once(self):
+        if self.install_from_replica():
+            await asyncio.sleep(REPLICA_POLL_INTERVAL_S)
+            return
+        home = self.find_home()
+        if home is None:
+            await asyncio.sleep(RETRY_DELAY_S)
+            return
+        await self._watch(home)
 
     def install_from_replica(self):
         """Install the replica's document; tell if its confirmation is recent.
@@ -161,110 +175,179 @@
             self._parse_task = None
         self.install_from_replica()
 
-    def _move(self, host, fault, waited_s):
-        """Switch to the next control host."""
-        self._rotation.advance()
-        if host is None:
-            return
-        self._log.record(
-            _V.CONTROL_HOST_LEFT,
-            control_host=host.name,
-            fault=fault,
-            waited_s=round(waited_s, 3),
-            age_s=round(self._installed.age_s, 3),
-        )
-
-    async def _watch(self, host):
-        """Poll ``host`` once; return why not to go on with it, or empty."""
-        is_first = host.name != self._watched_name
-        if is_first:
+    async def _watch(self, home):
+        """Poll the home once; choose another one if that fails."""
+        begun_at = self._now()
+        is_known = home.name in (self._watched_name, self._confirming_name)
+        if home.name != self._watched_name:
             # Table versions are those of one control host.
             self._known_versions.clear()
-            self._watched_name = host.name
+            self._watched_name = home.name
+            self._late_replies = 0
+        times = _watch_times.FIRST_POLL
+        if is_known:
+            times = _watch_times.plan_poll(
+                self._installed.age_s, self._is_relay
+            )
+        poll = asyncio.ensure_future(self._ask(home, times, True))
+        try:
+            await asyncio.wait({poll}, timeout=times.search_delay_s)
+            if not poll.done():
+                self._start_search(is_urgent=True)
+                await asyncio.wait({poll})
+            if poll.cancelled():
+                # A new report is due. A search goes on.
+                return
+            fault = await self._finish_poll(home, poll.result())
+            if fault:
+                self._start_search(is_urgent=False)
+                await self._leave(home, fault, begun_at, await self._search)
+            self._stop_search()
+        finally:
+            poll.cancel()
+
+    async def _finish_poll(self, home, answer):
+        """Apply the home's answer; return why to leave it, or empty."""
+        if answer.fault:
+            return answer.fault
+        if not self._apply_answer(home, answer):
+            return 'its confirmation is old'
+        self._is_unconfirmed = False
+        self._late_replies = self._late_replies + 1 if self._search else 0
+        if self._late_replies >= _watch_times.MAX_LATE_REPLIES:
+            return 'its responses are late'
+        reply = answer.reply
+        has_group = reply.group in (None, self.group)
+        has_tables = all(
+            self._known_versions.get(table.name) == table.version
+            for table in reply.tables
+        )
+        is_outdated = reply.version > self._installed.version.number
+        if is_outdated or not has_group or not has_tables:
+            # The answer's confirmation was too old, or its document or a table
+            # is invalid here. The control host would answer the next poll at
+            # once.
+            await asyncio.sleep(RETRY_DELAY_S)
+        return ''
+
+    def _start_search(self, is_urgent):
+        """Ask other control hosts, unless they are being asked."""
+        if self._search is None:
+            self._search = asyncio.ensure_future(self._find_other(is_urgent))
+
+    def _stop_search(self):
+        if self._search is not None:
+            self._search.cancel()
+            self._search = None
+
+    async def _find_other(self, is_urgent):
+        """Return another control host that confirms, or None."""
+        pace = _watch_search.Pace.SPARING
+        if is_urgent:
+            pace = _watch_search.Pace.URGENT
+        if self._is_unconfirmed:
+            pace = _watch_search.Pace.SLOW
+        found = await _watch_search.find_confirming(
+            self._rotation, self._probe, pace
+        )
+        self._is_unconfirmed = found is None
+        if found is not None:
+            self._confirming_name = found.name
+        return found
+
+    async def _probe(self, host):
+        """Tell whether a control host confirms the document.
+
+        A probe carries no reports: a daemon registers with its home only.
+        """
+        try:
+            answer = await self._ask(host, _watch_times.FIRST_POLL, False)
+            return not answer.fault and self._apply_answer(host, answer)
+        except Exception as error:
+            _internal_errors.record_error(self._log, error)
+            return False
+
+    async def _leave(self, home, fault, begun_at, found):
+        """Choose another home, unless no other one is better."""
+        is_silent = fault in (_NOT_CONNECTED, _NO_RESPONSE)
+        if found is not None or is_silent:
+            self._rotation.advance()
+            self._log.record(
+                _V.CONTROL_HOST_LEFT,
+                control_host=home.name,
+                fault=fault,
+                waited_s=round(self._now() - begun_at, 3),
+                age_s=round(self._installed.age_s, 3),
+            )
+        if found is None:
+            await asyncio.sleep(RETRY_DELAY_S)
+
+    async def _ask(self, host, times, is_home):
+        """Send a watch; return the :class:`_Answer`.
+
+        :param is_home: whether to exchange the tables; only then may a new
+            report cancel the poll, once it is sent.
+        """
         peer = self._node.connect(host.address)
         if not await peer.wait_until_up(CONNECT_TIMEOUT_S):
-            return 'not connected'
-        self._report_due.clear()
-        hold_time_s = RELAY_HOLD_TIME_S if self._is_relay else HOLD_TIME_S
-        timeout_s = hold_time_s + REPLY_MARGIN_S
-        if is_first:
-            hold_time_s, timeout_s = 0.0, FIRST_REPLY_TIMEOUT_S
+            return _Answer(_NOT_CONNECTED)
+        tables = ()
+        if is_home:
+            self._open_poll = asyncio.current_task()
+            tables = tuple(self._list_reports())
         watch = _messages.Watch(
             daemon=self._name,
             version=self._installed.version.number,
             change_id=self._installed.version.change_id,
             epoch=self.group.epoch,
             leader=self.group.leader,
-            hold_ms=int(hold_time_s * 1000),
-            tables=tuple(self._list_reports()),
+            hold_ms=int(times.hold_time_s * 1000),
+            tables=tables,
         )
         base = self._installed.current
         # The time before sending is a lower bound, so that the confirmation
         # is never taken to be later than it was.
         sent_at = self._now()
-        reply = await self._request(peer, watch, timeout_s)
-        if reply is None:
-            return ''
-        if not pipeline.is_successful(reply):
-            self._log.record(_V.CONTROL_HOST_SILENT, control_host=host.name)
-            return 'no response'
-        is_recent = self._apply_answer(reply.unwrap(), sent_at, base)
-        answer = reply.unwrap()
-        has_group = answer.group in (None, self.group)
-        has_tables = all(
-            self._known_versions.get(table.name) == table.version
-            for table in answer.tables
-        )
-        is_outdated = answer.version > self._installed.version.number
-        if is_outdated or not has_group or not has_tables:
-            # The answer's confirmation was too old, or its document or a table
-            # is invalid here. The control host would answer the next poll at
-            # once.
-            await asyncio.sleep(RETRY_DELAY_S)
-        return '' if is_recent else 'its confirmation is old'
-
-    async def _request(self, peer, watch, timeout_s):
-        """Return the reply, or None if a new report is due first."""
-        request = asyncio.ensure_future(peer.request(watch, timeout_s))
-        due = asyncio.ensure_future(self._report_due.wait())
         try:
-            await asyncio.wait(
-                {request, due}, return_when=asyncio.FIRST_COMPLETED
-            )
-            return request.result() if request.done() else None
+            reply = await peer.request(watch, times.timeout_s)
         finally:
-            request.cancel()
-            due.cancel()
+            if is_home:
+                self._open_poll = None
+        if not pipeline.is_successful(reply):
+            self._log.record(_V.CONTROL_HOST_SILENT, control_host=host.name)
+            return _Answer(_NO_RESPONSE)
+        return _Answer('', reply.unwrap(), sent_at, base)
 
     def _list_reports(self):
         for name, (make_report, _) in self._tables.items():
             known = self._known_versions.get(name, 0)
             yield _messages.TableRequest(name, known, make_report())
 
-    def _apply_answer(self, answer, sent_at, base):
+    def _apply_answer(self, host, answer):
         """Apply an answer; tell whether its confirmation is recent."""
-        for table in answer.tables:
+        reply = answer.reply
+        for table in reply.tables:
             self._apply_table(table)
-        if answer.age_s is None:
+        if reply.age_s is None:
             # A document from a file needs no confirmation.
             return self._has_fixed_document
         # Relays that watch each other could pass a confirmation in a circle
         # and keep it alive without a replica.
-        if self._is_relay and answer.relays > 0:
+        if self._is_relay and reply.relays > 0:
             return False
-        confirmed_at = sent_at - answer.age_s
+        confirmed_at = answer.sent_at - reply.age_s
         known_at = self._installed.confirmed_at
         if known_at is None or confirmed_at >= known_at:
-            self.relays = answer.relays + 1
-            self._update_group(answer.group)
-        version = _installed.Version(answer.version, answer.change_id)
+            self.relays = reply.relays + 1
+            self._update_group(reply.group)
+        version = _installed.Version(reply.version, reply.change_id)
         self._install(
             version,
             confirmed_at,
-            lambda: _patch(base, answer),
-            self._watched_name,
+            lambda: _patch(answer.base, reply),
+            host.name,
         )
-        return self._now() - confirmed_at < MAX_HOME_AGE_S
+        return self._now() - confirmed_at < _watch_times.MAX_HOME_AGE_S
 
     def _apply_table(self, table):
         """Apply a table; its version stays unknown if that fails.
@@ -284,7 +367,7 @@
     def _update_group_from_replica(self, replica):
         known = self.group.epoch, self.group.leader
         if known != (replica.membership.version, replica.leader_id):
-            self._update_group(_make_group(replica))
+            self._update_group(_control_group.make_group(replica))
 
     def _update_group(self, group):
         if group is not None and group != self.group:
@@ -299,27 +382,6 @@
             self._on_change()
 
 
-def _make_group(replica):
-    """Return the local replica's :class:`ControlGroup`."""
-    membership = replica.membership
-    members = []
-    for member in membership.members:
-        address = _control.ReplicaAddress.parse(member.address)
-        members.append(
-            _messages.ControlMember(
-                member.replica_id,
-                address.daemon,
-                address.endpoint,
-                address.public_key,
-                member.is_voter,
-                address.data_centre,
-            )
-        )
-    return _messages.ControlGroup(
-        membership.version, replica.leader_id, tuple(members)
-    )
-
-
 def _patch(base, answer):
     """Return the document that results from an answer, as a Result.
 
--- a/daemon/tests/test_watch.py
+++ b/daemon/tests/test_watch.py
@@ -16,6 +16,7 @@
 from cactusloftd import _settings
 from cactusloftd import _texts
 from cactusloftd import _watch
+from cactusloftd import _watch_times
 
 SECTION = document.Section('service a', ())
 SETTINGS = """
@@ -118,7 +119,7 @@
 
 def test_daemon_leaves_control_hosts_without_confirmation(fleet, make_watcher):
     """An isolated control host still answers, but confirms nothing new."""
-    fleet.near.answer = _make_answer(age_s=_watch.MAX_HOME_AGE_S + 0.1)
+    fleet.near.answer = _make_answer(age_s=_watch_times.MAX_HOME_AGE_S + 0.1)
     fleet.relay.answer = _make_answer(age_s=None)
     fleet.far.answer = _make_answer(version=2)
     watcher = make_watcher('d1')
@@ -149,9 +150,14 @@
     assert first.tables[0].content == b'report' and applied[0] == b'content'
     assert (first.tables[0].known, second.tables[0].known) == (0, 7)
     fleet.near.answer = None
-    before = len(fleet.far.watches)
-    asyncio.run(_run_until(watcher, lambda: len(fleet.far.watches) > before))
-    assert fleet.far.watches[before].tables[0].known == 0
+    asyncio.run(_run_until(watcher, lambda: _list_known(fleet.far)))
+    assert set(_list_known(fleet.far)) == {0}
+
+
+def _list_known(peer):
+    """Return the table versions in the polls of a home, without probes."""
+    tables = [watch.tables for watch in peer.watches if watch.tables]
+    return [table.known for (table,) in tables]
 
 
 def test_table_that_cannot_be_applied_ends_the_watch(fleet, make_watcher):
@@ -184,6 +190,6 @@
     watcher = make_watcher('d1')
     asyncio.run(_run_until(watcher, lambda: len(fleet.far.watches) > 1))
     for lost in (fleet.near, fleet.relay):
-        assert lost.timeouts_s == [_watch.FIRST_REPLY_TIMEOUT_S]
+        assert lost.timeouts_s == [_watch_times.FIRST_REPLY_TIMEOUT_S]
     assert [watch.hold_ms for watch in fleet.far.watches[:2]] == [0, 1000]
-    assert fleet.far.timeouts_s[1] > _watch.HOLD_TIME_S
+    assert fleet.far.timeouts_s[1] > _watch_times.HOLD_TIME_S
--- a/daemon/tests/test_watch_server.py
+++ b/daemon/tests/test_watch_server.py
@@ -6,8 +6,8 @@
 from cactusloft_model import document
 from cactusloftd import _installed
 from cactusloftd import _messages
-from cactusloftd import _watch
 from cactusloftd import _watch_server
+from cactusloftd import _watch_times
 
 
 class InstalledDocument:
@@ -60,6 +60,8 @@
         return ages
 
     ages = asyncio.run(run())
-    moved_at = next(at for at, age in ages if age >= _watch.MAX_HOME_AGE_S)
+    moved_at = next(
+        at for at, age in ages if age >= _watch_times.MAX_HOME_AGE_S
+    )
     # Leaves time for one more poll at another control host.
     assert moved_at <= 1.6
