Poll once a second for a version that is invalid here

A daemon that can't install the version of its home, for example one of an earlier build, asked for it again every 0.2 s. Each answer carried the whole difference, which was parsed again on the event loop. It now waits 1 s, or until a new report is due. What was right stays: it remains at its home, because all control hosts hold that version; it logs the refusal once; the answer doesn't confirm the older version, so keyed routes are refused after 5 s; watchers of a control host in this state leave it once its confirmation is 1.2 s old.

A relay's search gets a test beside that of its polls.

--- a/daemon/src/cactusloftd/_installed.py
+++ b/daemon/src/cactusloftd/_installed.py
@@ -86,6 +86,10 @@
             return float('inf')
         return self._now() - self.confirmed_at
 
+    def has_refused(self, number):
+        """Tell whether the version with this number is invalid here."""
+        return self._refused_version.number == number > self.version.number
+
     def find_sections(self, version):
         """Return the sections of a recent version, or None.
 
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -21,6 +21,9 @@
 REPLICA_POLL_INTERVAL_S = 0.1
 CONNECT_TIMEOUT_S = 0.5
 RETRY_DELAY_S = 0.2
+# A daemon whose home holds a version that is invalid here polls it at this
+# interval, so that it gets a valid one in time.
+REFUSED_DELAY_S = 1.0
 _NOT_CONNECTED = 'not connected'
 _NO_RESPONSE = 'no response'
 _V = events.Event
@@ -88,7 +91,7 @@
         self._rotation = _control_hosts.Rotation(settings, random_source)
         self._watched_name = ''
         self._confirming_name = ''
-        self._open_poll = None
+        self._until_report = None
         self._search = None
         self._late_replies = 0
         self._is_unconfirmed = False
@@ -110,8 +113,8 @@
 
     def wake(self):
         """Send a new poll with fresh reports at once."""
-        if self._open_poll is not None:
-            self._open_poll.cancel()
+        if self._until_report is not None:
+            self._until_report.cancel()
 
     async def run(self):
         """Watch until cancelled."""
@@ -223,13 +226,25 @@
             for table in reply.tables
         )
         is_outdated = reply.version > self._installed.version.number
-        if is_outdated or not has_group or not has_tables:
-            # The answer's confirmation was too old, or its document or a table
-            # is invalid here. The control host would answer the next poll at
-            # once.
-            await asyncio.sleep(RETRY_DELAY_S)
+        if self._installed.has_refused(reply.version):
+            # All control hosts hold this version, so that no other one is
+            # better. Each answer costs as much as the whole difference.
+            await self._pause(REFUSED_DELAY_S)
+        elif is_outdated or not has_group or not has_tables:
+            # The answer's confirmation was too old, or a table is invalid
+            # here. The control host would answer the next poll at once.
+            await self._pause(RETRY_DELAY_S)
         return ''
 
+    async def _pause(self, duration_s):
+        """Wait before the next poll, or until a new report is due."""
+        self._until_report = asyncio.ensure_future(asyncio.sleep(duration_s))
+        try:
+            await asyncio.wait({self._until_report})
+        finally:
+            self._until_report.cancel()
+            self._until_report = None
+
     def _start_search(self, is_urgent):
         """Ask other control hosts, unless they are being asked."""
         if self._search is None:
@@ -293,7 +308,7 @@
             return _Answer(_NOT_CONNECTED)
         tables = ()
         if is_home:
-            self._open_poll = asyncio.current_task()
+            self._until_report = asyncio.current_task()
             tables = tuple(self._list_reports())
         watch = _messages.Watch(
             daemon=self._name,
@@ -312,7 +327,7 @@
             reply = await peer.request(watch, times.timeout_s)
         finally:
             if is_home:
-                self._open_poll = None
+                self._until_report = None
         if not pipeline.is_successful(reply):
             self._log.record(_V.CONTROL_HOST_SILENT, control_host=host.name)
             return _Answer(_NO_RESPONSE)
--- a/daemon/tests/test_watch.py
+++ b/daemon/tests/test_watch.py
@@ -139,6 +139,15 @@
     assert not fleet.relay.watches, 'a relay watched itself'
 
 
+def test_relay_search_accepts_answers_of_relays(fleet, make_watcher):
+    """A probe must not close the circle that polls keep open."""
+    fleet.far.answer = _make_answer(relays=1)
+    watcher = make_watcher('relay')
+    asyncio.run(_run_until(watcher, lambda: len(fleet.far.watches) > 2))
+    assert fleet.near.watches
+    assert watcher._installed.confirmed_at is None
+
+
 def test_tables_go_both_ways(fleet, make_watcher):
     """A table version of one control host must not be sent to another."""
     table = _messages.Table('marks', 7, b'content')
--- /dev/null
+++ b/daemon/tests/watch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the watch in simulated time."""
