--- a/daemon/tests/watch/fleets.py
+++ b/daemon/tests/watch/fleets.py
@@ -18,6 +18,7 @@
 from cactusloft_model import events
 from cactusloftd import _installed
 from cactusloftd import _messages
+from cactusloftd import _rollout
 from cactusloftd import _settings
 from cactusloftd import _texts
 from cactusloftd import _watch
@@ -114,7 +115,10 @@
             relays=0,
             install_from_replica=lambda: True,
         )
-        self.server = _watch_server.WatchServer(self.installed, watcher, now)
+        self.versions = _rollout.InstalledVersions(now)
+        self.server = _watch_server.WatchServer(
+            self.installed, watcher, now, self.versions
+        )
 
     async def wait_until_up(self, timeout_s):
         if self.is_up or now() < self.silent_at:
