Give the watch server of the tests the versions that it records

Since a watch server takes the installed versions to report to. The fixture of test_installed.py was not changed with it, and four of its tests ended with a TypeError.

--- a/daemon/tests/test_installed.py
+++ b/daemon/tests/test_installed.py
@@ -15,6 +15,7 @@
 from cactusloft_model import events
 from cactusloftd import _installed
 from cactusloftd import _messages
+from cactusloftd import _rollout
 from cactusloftd import _settings
 from cactusloftd import _texts
 from cactusloftd import _watch
@@ -164,7 +165,10 @@
         lambda: watch_server.notify(),
     )
     watch_server = _watch_server.WatchServer(
-        installed, watcher, time_source.read
+        installed,
+        watcher,
+        time_source.read,
+        _rollout.InstalledVersions(time_source.read),
     )
     return watch_server
 
