Count only held polls as reports of an installed version

A probe tells a control host which version the daemon has, but the daemon learns of the next one from its home. The control host that was probed counted it as lagging for 1.5 s, and each change in that time was acknowledged up to 0.5 s late.

--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -57,7 +57,10 @@
     async def handle_watch(self, watch, _age_s):
         """Answer at once after any change, else after the hold time."""
         received_at = self._now()
-        self._versions.record(watch.daemon, watch.version)
+        if watch.hold_ms:
+            # A poll that isn't held, such as a probe, tells nothing about the
+            # versions to come: the daemon may watch another control host.
+            self._versions.record(watch.daemon, watch.version)
         deadline = received_at + min(watch.hold_ms / 1000, MAX_HOLD_TIME_S)
         while True:
             tables = self._exchange(watch)
--- a/daemon/tests/watch/test_homes.py
+++ b/daemon/tests/watch/test_homes.py
@@ -136,3 +136,22 @@
     late = [at for at in itertools.chain(*polls) if at > fleets.FAULT_AT + 1]
     assert sum(map(bool, polls)) == 1 and len(late) <= 10
     assert woken_at >= fleets.FAULT_AT + 10.0, 'the report had to wait'
+
+
+def test_probed_control_host_waits_for_a_daemon_of_another():
+    """A change must not be held up where a daemon does not wait for it."""
+
+    async def run():
+        fleet = fleets.Fleet(5, 2)
+        fleets.silence(fleet, fleets.FAULT_AT - 1.5)
+        await _watch_until(fleet, fleets.FAULT_AT + 1.0)
+        home = fleet.watcher.find_home().name
+        return [
+            (host.versions.find_lagging(2), f'c{number}' == home)
+            for number, host in enumerate(fleet.hosts)
+            if host.watches and host not in fleet.faulty
+        ]
+
+    lagging = fleets.run_simulated(run())
+    assert len(lagging) > 1 and ((), True) in lagging
+    assert all(names == () for names, _ in lagging)
