Pass a change on once a follower knows the new leader

A follower that had forwarded a change to a frozen leader waited until its link was closed or for 6 s, then asked the other control hosts, the frozen one among them, although it knew the new leader after the election of about a second. It now looks at the known leader every 0.2 s while it waits, and sends the change to the new one. Requests are idempotent by their change id. A leader that is not known at the moment replaces none: the last one may still answer.

--- a/daemon/src/cactusloftd/_operators.py
+++ b/daemon/src/cactusloftd/_operators.py
@@ -67,14 +67,38 @@
         """Execute a request here, or forward it to the known leader."""
         if self._control is None:
             return _control.refuse_unavailable('not a control replica')
+        reply = None
+        while reply is None:
+            if self._control.replica.is_leader:
+                return await self._control.execute(request)
+            leader = self._control.find_leader_address()
+            if leader is None or request.is_forwarded:
+                return _control.refuse_unavailable('no leader is known')
+            reply = await self._forward(leader, request)
+        return reply
+
+    async def _forward(self, leader, request):
+        """Return the leader's reply, or None once there is another leader.
+
+        A frozen leader would otherwise hold the request long after the others
+        have elected its successor.
+        """
+        forwarded = attrs.evolve(request, is_forwarded=True)
+        sending = asyncio.ensure_future(self._send(leader, forwarded))
+        try:
+            while not sending.done() and not self._is_replaced(leader):
+                await asyncio.wait(
+                    {sending}, timeout=_control.LEADER_POLL_INTERVAL_S
+                )
+            return sending.result() if sending.done() else None
+        finally:
+            sending.cancel()
+
+    def _is_replaced(self, leader):
+        """Tell whether this daemon knows another leader by now."""
         if self._control.replica.is_leader:
-            return await self._control.execute(request)
-        leader = self._control.find_leader_address()
-        if leader is None or request.is_forwarded:
-            return _control.refuse_unavailable('no leader is known')
-        return await self._send(
-            leader, attrs.evolve(request, is_forwarded=True)
-        )
+            return True
+        return self._control.find_leader_address() not in (None, leader)
 
     async def _send_to_hosts(self, request):
         reply = _control.refuse_unavailable('no control host answers')
