Recognise an accepted change after many refused ones

An operator that resent an accepted change got 412 once 4096 other changes had been decided, even if all of those were refused and its own was still in force. The outcomes of refused and accepted changes shared one table.

The kept revisions hold the change id and digest of the last 1000 accepted changes. The store now looks there as well, so only accepted changes can make an accepted one unknown, and never the one in force. Replicas of both versions of the code keep equal documents, unless a change id is used again for another text after 4096 decisions; the platform's change ids are hashes of the text.

The refusal of a change id stays kept. A change whose base is old can never be accepted later, since versions only increase. One whose base is ahead could, and then a copy that was still waiting for a leader would come in force after the operator got 412: the rule forbids that, and the operator ends its call with the 412.

--- a/libs/consensus/src/cactusloft_consensus/_documents.py
+++ b/libs/consensus/src/cactusloft_consensus/_documents.py
@@ -13,8 +13,9 @@
 import attrs
 import msgspec
 
-# Outcomes kept to answer resends. A resend that arrives after more changes
-# than this is refused because of its old base version.
+# Outcomes kept to answer resends, besides those of the kept revisions. A
+# resend that arrives after more changes than either holds is refused because
+# of its old base version.
 MAX_KEPT_OUTCOMES = 4096
 MAX_KEPT_REVISIONS = 1000
 MAX_KEPT_TEXTS = 10
@@ -152,7 +153,7 @@
         """
         change = Change.decode(data)
         digest = hashlib.sha256(change.text.encode()).hexdigest()
-        earlier = self._decided.get(change.change_id)
+        earlier = self._find_decided(change.change_id)
         if earlier is not None and earlier.digest == digest:
             return earlier.outcome
         if earlier is not None:
@@ -165,6 +166,22 @@
             self._decided.popitem(last=False)
         return outcome
 
+    def _find_decided(self, change_id):
+        """Return the earlier decision on a change id, or None.
+
+        A refusal is kept too. Had the change another chance, a late copy of
+        it could come in force after the operator was told that it is refused.
+        """
+        decided = self._decided.get(change_id)
+        if decided is not None:
+            return decided
+        # Refused changes don't push an accepted one out of the revisions.
+        for revision in self._revisions:
+            if revision.change_id == change_id:
+                outcome = Outcome(OutcomeKind.ACCEPTED, revision.version)
+                return _DecidedChange(change_id, revision.digest, outcome)
+        return None
+
     def _decide(self, change, digest):
         if change.base_version != self.version:
             return Outcome(OutcomeKind.CONFLICT, self.version)
--- a/libs/consensus/tests/test_documents.py
+++ b/libs/consensus/tests/test_documents.py
@@ -35,6 +35,37 @@
     assert store.text == 'text'
 
 
+def test_accepted_change_is_refused_after_many_conflicts():
+    """A change that is in force must be acknowledged whenever it is resent."""
+    store = documents.DocumentStore()
+    accepted = _apply(store, 0, 'a')
+    for number in range(_documents.MAX_KEPT_OUTCOMES):
+        _apply(store, 0, f'late-{number}')
+    assert _apply(store, 0, 'a') == accepted
+    reused = _apply(store, 1, 'a', 'other')
+    assert reused.kind is documents.OutcomeKind.CHANGE_ID_REUSED
+    assert (store.version, store.text) == (1, 'text')
+
+
+def test_refused_change_comes_in_force_once_its_base_is():
+    """A copy that was under way must not undo the refusal of the operator."""
+    store = documents.DocumentStore()
+    refused = _apply(store, 1, 'ahead')
+    assert refused.kind is documents.OutcomeKind.CONFLICT
+    _apply(store, 0, 'base')
+    assert _apply(store, 1, 'ahead') == refused
+    assert store.change_id == 'base'
+
+
+def test_identical_changes_of_two_operators():
+    """Both get the same acknowledgement, and one version is made."""
+    store = documents.DocumentStore()
+    assert _apply(store, 0, 'same') == _apply(store, 0, 'same')
+    _apply(store, 1, 'next', 'newer')
+    assert _apply(store, 0, 'same').kind is documents.OutcomeKind.ACCEPTED
+    assert (store.version, store.text) == (2, 'newer')
+
+
 def test_memory_is_bounded():
     """The number of kept change ids, revisions and texts is bounded."""
     store = documents.DocumentStore()
