Keep members of a restarted home until they had time to register

Callers got `no_backend_server` ("no member") for owners that ran and were registered, when a control host restarted within 3 s. The other control hosts got the full copy of its new, nearly empty home table, took it as whole and removed all daemons of that home. They are settled, so they sent the removal to their daemons at once. The daemons of the restarted home need up to 3 s to register again, which is why a control host answers its own daemons with no members during that time; its copies at the others had no such time.

A copy of a new incarnation now leaves what it does not list until the lease of the previous incarnation ends (3 s after its last message), also when the full copy is repeated. A control host that stays away loses its copies at the same time as before. An owner that has really gone refuses the calls meanwhile, and departures are known on their own way.

The test failed before: the other host knew neither of two daemons as soon as the restarted home had sent its copy.

--- a/libs/membership/src/cactusloft_membership/_exchange.py
+++ b/libs/membership/src/cactusloft_membership/_exchange.py
@@ -155,11 +155,15 @@
 
     :ivar last_sent_at: when the home sent its last update, in monotonic
         seconds of this host.
+    :ivar known_until: end of the lease of the previous incarnation. Until
+        then the copies stay that it had, since their daemons register again
+        only after the restart of their home.
     """
 
     incarnation: int
     sequence: int
     last_sent_at: float
+    known_until: float
 
     @property
     def position(self):
@@ -251,9 +255,15 @@
     def _install_copy(self, update, registrations, now, sent_at):
         registrations = list(registrations)
         names = {registration.name for registration in registrations}
-        self._registry.remove_home(update.home, now, kept=names)
+        known = self._copies.get(update.home)
+        known_until = now
+        if known is not None:
+            known_until = known.known_until
+            if known.incarnation != update.incarnation:
+                known_until = known.last_sent_at + HOME_LEASE_S
+        self._registry.replace_home(update.home, names, now, known_until)
         for registration in registrations:
             self._registry.store_copy(update.home, registration, now)
         self._copies[update.home] = _HomeCopy(
-            update.incarnation, update.sequence, sent_at
+            update.incarnation, update.sequence, sent_at, known_until
         )
--- a/libs/membership/src/cactusloft_membership/_registry.py
+++ b/libs/membership/src/cactusloft_membership/_registry.py
@@ -41,7 +41,8 @@
 class _Entry:
     """A registration, or an expired one whose position is kept.
 
-    :ivar expires_at: end of the lease; infinite for a copy.
+    :ivar expires_at: end of the lease; infinite for a copy, unless its home
+        has restarted and does not list it.
     :ivar home: name of the daemon's home; empty for this control host.
     :ivar is_live: False once the registration has expired or was removed.
     :ivar queued_at: due time of the valid item in the expiry queue.
@@ -153,6 +154,22 @@
         for name in set(self._by_home.get(home, ())).difference(kept):
             self.remove_copy(home, name, now)
 
+    def replace_home(self, home, names, now, ends_at):
+        """Remove the copies at a home that its full copy does not list.
+
+        :param names: names of the daemons that the full copy lists.
+        :param now: monotonic seconds.
+        :param ends_at: time until which the others stay; those that have an
+            end already keep it.
+        """
+        if ends_at <= now:
+            self.remove_home(home, now, kept=names)
+            return
+        for name, entry in self._by_home.get(home, {}).items():
+            if name not in names and entry.expires_at == float('inf'):
+                entry.expires_at = ends_at
+                self._queue_entry(entry)
+
     def find_local_registration(self, name):
         """Return the live registration of a daemon at this home, or None."""
         entry = self._by_home.get('', {}).get(name)
--- a/libs/membership/tests/test_exchange.py
+++ b/libs/membership/tests/test_exchange.py
@@ -247,3 +247,26 @@
     (update,) = host.table.list_updates(host.acks['b'])
     assert not update.changed and not update.gone
     assert len(host.table.list_updates(None)) == 3
+
+
+def test_restarted_home_removes_members_that_it_does_not_know_yet():
+    """Calls failed for lack of members that ran and were registered.
+
+    The daemons of a home that restarts need some time to register again. The
+    full copy of its new table, which is repeated after a lost ack, lists none
+    of them.
+    """
+    simulation = Simulation()
+    simulation.report('d1', 'a')
+    simulation.report('d2', 'a')
+    simulation.run(1.0)
+    simulation.hosts['a'] = Host('a', incarnation=2)
+    simulation.are_acks_lost = True
+    simulation.homes.clear()
+    simulation.run(1.0)
+    known = simulation.hosts['b'].registry.list_all(simulation.now)
+    assert {member.name for member in known} == {'d1', 'd2'}
+    simulation.report('d1', 'a')
+    simulation.run(exchange.HOME_LEASE_S)
+    known = simulation.hosts['b'].registry.list_all(simulation.now)
+    assert {member.name for member in known} == {'d1'}
