Show in the metrics that what calls hold is given back once

What callers saw: nothing so far.

Change: cactusloft_holds_granted_total and _released_total count both ends where they happen; cactusloft_holds is a count of their own of what is in use; cactusloft_holds_missing is granted less released less in use.

--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -14,6 +14,8 @@
 
     :param admission: :class:`controller.Admission`.
     :param now: function that returns monotonic seconds.
+    :ivar on_wait: function called when a call begins to wait.
+    :ivar on_waited: function called when a call no longer waits.
     """
 
     def __init__(self, admission, now):
@@ -21,6 +23,7 @@
         self._now = now
         self._waiters = {}
         self._timer = None
+        self.on_wait = self.on_waited = _do_nothing
 
     @property
     def has_capacity(self):
@@ -46,6 +49,7 @@
                 return decision.verdict
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[ticket] = waiter
+        self.on_wait()
         try:
             with link.limit(ticket.last_start - self._now()):
                 return await waiter
@@ -57,6 +61,7 @@
             raise
         finally:
             self._waiters.pop(ticket, None)
+            self.on_waited()
 
     def leave(self, ticket, outcome, latency_s=None):
         """Free the slot of a started call.
@@ -106,3 +111,7 @@
     def _start_queued(self):
         self._timer = None
         self._apply(self.admission.advance())
+
+
+def _do_nothing():
+    pass
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -42,6 +42,8 @@
     :ivar on_report_due: function called when a report must be sent at once.
     :ivar on_departure: function called with the process of the local backend
         server when the home knows that it has announced its departure.
+    :ivar on_call: function called when a call to a member begins.
+    :ivar on_call_end: function called when it is no longer in flight.
     """
 
     def __init__(self, node, control_hosts, make_registration, view, now):
@@ -63,6 +65,7 @@
         self.find_home = lambda: None
         self.on_report_due = lambda: None
         self.on_departure = lambda process: None
+        self.on_call = self.on_call_end = lambda: None
 
     def list_members(self):
         """Return the registrations of the services in use."""
@@ -235,6 +238,10 @@
         """
         return self._view.find_chooser(service).find_mean_latency(kind)
 
+    def count_in_flight(self):
+        """Return the calls to members that have not finished."""
+        return self._view.count_in_flight()
+
     def record_departure(self, process):
         """Send no more calls to a :class:`registry.BackendProcess`."""
         self._view.record_departure(process, self._now())
@@ -247,6 +254,8 @@
             self._view.find_chooser(member.service),
             self._now,
             self.record_departure,
+            self.on_call,
+            self.on_call_end,
         )
 
     def connect(self, member):
@@ -267,13 +276,24 @@
 class _MemberRunner:
     """Run calls on a member, and record their number, pressure and latency."""
 
-    def __init__(self, member, peer, chooser, now, record_departure):
+    def __init__(
+        self,
+        member,
+        peer,
+        chooser,
+        now,
+        record_departure,
+        on_call,
+        on_call_end,
+    ):
         self._name = member.name
         self._peer = peer
         self._owner = _peers.RemoteOwner(peer, now)
         self._chooser = chooser
         self._now = now
         self._record_departure = record_departure
+        self._on_call = on_call
+        self._on_call_end = on_call_end
 
     @property
     def load(self):
@@ -289,6 +309,7 @@
 
         :returns: ``Success(Response)`` or ``Failure(CallError)``.
         """
+        self._on_call()
         self._chooser.begin(self._name)
         finishes_on_close = False
         started_at = self._now()
@@ -316,14 +337,18 @@
             return outcome
         finally:
             if not finishes_on_close:
-                self._chooser.finish(self._name)
+                self._finish()
+
+    def _finish(self):
+        self._chooser.finish(self._name)
+        self._on_call_end()
 
     def _finish_on_close(self, response):
         """Count the call as in flight until its response is closed."""
         close_response = response.close
 
         async def close():
-            self._chooser.finish(self._name)
+            self._finish()
             await close_response()
 
         response.close = close
--- a/daemon/src/cactusloftd/_metrics.py
+++ b/daemon/src/cactusloftd/_metrics.py
@@ -157,6 +157,32 @@
         'requests a second that the backend server accepts, absent if it '
         'names no limit',
     ),
+    Definition(
+        'cactusloft_holds_granted_total',
+        _C,
+        ('resource',),
+        'slots, places in the queue, calls to members, connections and tokens '
+        'that were handed out',
+    ),
+    Definition(
+        'cactusloft_holds_released_total',
+        _C,
+        ('resource',),
+        'those that were given back',
+    ),
+    Definition(
+        'cactusloft_holds',
+        _G,
+        ('resource',),
+        'those that are in use, by a count of their own',
+    ),
+    Definition(
+        'cactusloft_holds_missing',
+        _G,
+        ('resource',),
+        'granted less released less in use; other than 0 for longer than a '
+        'moment is a fault',
+    ),
     Definition(
         'cactusloft_rate_leases',
         _G,
@@ -236,6 +262,35 @@
         if outcome is not None:
             self.count('cactusloft_retries_total', outcome)
 
+    def grant(self, resource, number=1):
+        """Count what was handed out and must be given back once."""
+        self.counts['cactusloft_holds_granted_total'][resource,] += number
+
+    def release(self, resource, number=1):
+        """Count what was given back."""
+        self.counts['cactusloft_holds_released_total'][resource,] += number
+
+    def observe_holds(self, read):
+        """Register the function that counts what is in use.
+
+        :param read: function that returns a mapping from the resource to the
+            number in use.
+        """
+
+        def read_holds():
+            return {(resource,): held for resource, held in read().items()}
+
+        def read_missing():
+            granted = self.counts['cactusloft_holds_granted_total']
+            released = self.counts['cactusloft_holds_released_total']
+            return {
+                labels: granted[labels] - released[labels] - held
+                for labels, held in read_holds().items()
+            }
+
+        self.observe('cactusloft_holds', read_holds)
+        self.observe('cactusloft_holds_missing', read_missing)
+
     def record(self, name, seconds, *labels):
         """Add a duration to a histogram."""
         by_labels = self.durations[name]
--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -24,6 +24,8 @@
 # time.
 RETURN_INTERVAL_S = 0.25
 LEADER_POLL_INTERVAL_S = 0.1
+# Resource in the metrics.
+TOKEN = 'token'
 _E = errors.ErrorKind
 
 
@@ -67,6 +69,7 @@
         holder = self._find_holder(name)
         holder.record_arrival()
         if holder.take(self._now()):
+            self._metrics.release(TOKEN)
             return result.Success(True)
         if not self._has_contact:
             return self._admit_without_leader(account, holder, context)
@@ -95,7 +98,11 @@
 
         Only for a token of the leader, as :meth:`admit` tells.
         """
-        self._holders[context.client_account].return_token()
+        self._return_token(context.client_account)
+
+    def count_held(self):
+        """Return the tokens that are not used or returned yet."""
+        return sum(holder.held for holder in self._holders.values())
 
     async def run(self):
         """Send debits when calls wait and return tokens, until cancelled."""
@@ -121,6 +128,7 @@
             for name in names
         )
         debits = tuple(debit for debit in debits if debit is not None)
+        self._metrics.release(TOKEN, sum(debit.returned for debit in debits))
         if not debits and self._has_contact:
             return
         reply = await self._leader.ask(quota.DebitRequest(self._name, debits))
@@ -143,6 +151,8 @@
         holder = self._holders[grant.client_account]
         pending = [waiter for waiter in waiters if not waiter.done()]
         tokens = holder.apply_grant(grant, len(pending), self._now())
+        self._metrics.grant(TOKEN, grant.tokens)
+        self._metrics.release(TOKEN, tokens)
         for index, waiter in enumerate(pending):
             is_granted = index < tokens
             waiter.set_result(0.0 if is_granted else grant.retry_after_s)
@@ -171,7 +181,11 @@
         if not waiter.done() or waiter.cancelled():
             return
         if waiter.result() == 0.0:
-            self._holders[name].return_token()
+            self._return_token(name)
+
+    def _return_token(self, name):
+        self._metrics.grant(TOKEN)
+        self._holders[name].return_token()
 
     def _find_holder(self, name):
         holder = self._holders.get(name)
--- a/daemon/src/cactusloftd/resident/_delivery.py
+++ b/daemon/src/cactusloftd/resident/_delivery.py
@@ -27,6 +27,8 @@
 MAX_BODY_OVERTIME_S = 2.0
 OTHER_INSTANCE = 'the address belongs to another backend server'
 DECLINED = 'declined by the backend server'
+# Resource in the metrics.
+CONNECTION = 'connection'
 UNREACHABLE = 'the backend server takes no connection'
 _E = errors.ErrorKind
 _TRUE = errors.NotRun.TRUE
@@ -39,6 +41,8 @@
     :param instance: identity of the process.
     :param protocol: :class:`protocol.BackendProtocol`.
     :param now: function that returns monotonic time in seconds.
+    :ivar on_take: function called when a connection is taken for a call.
+    :ivar on_release: function called when it is released.
     :ivar on_metadata: function called with the
         :class:`protocol.ResponseMetadata` of each response of the process
         and the monotonic time in seconds at which its request was sent.
@@ -53,6 +57,12 @@
         self._idle = collections.deque()
         self._connections = set()
         self.on_metadata = lambda metadata, sent_at: None
+        self.on_take = self.on_release = lambda: None
+
+    @property
+    def busy_connections(self):
+        """Return the number of connections that carry a call."""
+        return sum(c.is_in_use for c in self._connections)
 
     def close(self):
         """Close all connections."""
@@ -72,6 +82,7 @@
             )
         except (OSError, TimeoutError):
             return _calls.fail(_E.BACKEND_SERVER_FAILED, UNREACHABLE, _TRUE)
+        self.on_take()
         is_handed_over = False
         try:
             outcome = await self._exchange(connection, call)
@@ -189,6 +200,7 @@
             raise _calls.ResponseCut(str(error)) from error
 
     def _release(self, connection):
+        self.on_release()
         connection.finish(self._now())
         if not connection.is_closed:
             self._idle.append(connection)
--- a/daemon/src/cactusloftd/resident/_exchange.py
+++ b/daemon/src/cactusloftd/resident/_exchange.py
@@ -98,6 +98,11 @@
         """Store the transport; called by the event loop."""
         self._transport = transport
 
+    @property
+    def is_in_use(self):
+        """Tell whether an exchange is in progress."""
+        return bool(self._attempt_id)
+
     @property
     def is_reusable(self):
         """Tell whether another request may be sent on the connection."""
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -41,6 +41,8 @@
 NS_PER_MS = 10**6
 NO_SLOT = 'no slot in time'
 NO_FREE_SLOT = 'no free slot'
+# Resources in the metrics.
+SLOT, QUEUE_PLACE = 'slot', 'queue_place'
 _E = errors.ErrorKind
 _G = controller.Verdict
 _O = controller.Outcome
@@ -90,6 +92,8 @@
         self._state = _backend_server.BackendServerState(name)
         self._delivery = None
         self._gate = None
+        # Gates of the current and of former processes.
+        self._gates = []
         self._losses = collections.deque()
         self._probe_task = None
         self._loss_id = ''
@@ -130,6 +134,17 @@
         """Return the number of calls that run or wait for a slot."""
         return self._gate.held if self._gate else 0
 
+    def count_holds(self):
+        """Return the number in use of each resource of the backend server."""
+        admissions = [gate.admission for gate in self._gates]
+        return {
+            SLOT: sum(a.in_flight for a in admissions),
+            QUEUE_PLACE: sum(a.queued for a in admissions),
+            _delivery.CONNECTION: (
+                self._delivery.busy_connections if self._delivery else 0
+            ),
+        }
+
     @property
     def load(self):
         """Return the number of held calls per slot.
@@ -272,6 +287,7 @@
             self._now() - arrived_at,
             _PRIORITY_NAMES[call.context.priority],
         )
+        self._metrics.grant(SLOT)
         run = _runs.Run(call, gate, ticket, self._delivery)
         # The backend server may have stopped serving during the wait.
         if not self.is_serving or gate is not self._gate:
@@ -456,6 +472,7 @@
         if run.is_released:
             return
         run.is_released = True
+        self._metrics.release(SLOT)
         self._running.pop(run.call.context.call_id, None)
         run.gate.leave(run.ticket, run.outcome)
 
@@ -483,6 +500,12 @@
         self._delivery = _delivery.Delivery(
             self._address, heartbeat.instance, self._protocol, self._now
         )
+        self._delivery.on_take = functools.partial(
+            self._metrics.grant, _delivery.CONNECTION
+        )
+        self._delivery.on_release = functools.partial(
+            self._metrics.release, _delivery.CONNECTION
+        )
         self._times.clear_routes()
         admission = controller.Admission(
             heartbeat.slots,
@@ -495,6 +518,14 @@
             ramp_s=min(heartbeat.cold_left_s, _backend_server.MAX_WARM_UP_S),
         )
         self._gate = _gate.AdmissionGate(admission, self._now)
+        self._gate.on_wait = functools.partial(
+            self._metrics.grant, QUEUE_PLACE
+        )
+        self._gate.on_waited = functools.partial(
+            self._metrics.release, QUEUE_PLACE
+        )
+        self._gates = [gate for gate in self._gates if gate.held]
+        self._gates.append(self._gate)
         self._delivery.on_metadata = functools.partial(
             self._handle_metadata, self._gate
         )
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import itertools
 import random
 import time
@@ -47,6 +48,8 @@
 RESTART_DELAY_S = 3.0
 # A document confirmed longer ago than this is not returned as the newest.
 MAX_READ_AGE_S = 1.0
+# Resource in the metrics.
+MEMBER_CALL = 'member_call'
 _V = events.Event
 
 
@@ -347,6 +350,10 @@
             self.metrics,
             self._now,
         )
+        members.on_call = functools.partial(self.metrics.grant, MEMBER_CALL)
+        members.on_call_end = functools.partial(
+            self.metrics.release, MEMBER_CALL
+        )
         self._owner.on_change = self._registration_changed.set
         self._owner.on_other_departure = members.record_departure
         self._entry = _entry.Entry(
@@ -413,6 +420,14 @@
             is_leaving=self._owner.is_leaving,
         )
 
+    def _count_holds(self):
+        """Return the number in use of each resource."""
+        return {
+            **self._owner.count_holds(),
+            MEMBER_CALL: self._members.count_in_flight(),
+            _debits.TOKEN: self._debits.count_held(),
+        }
+
     def _register_gauges(self):
         """Register the sources of the gauges."""
         observe = self.metrics.observe_number
@@ -427,6 +442,7 @@
         )
         if self._host_context.backend_server:
             owner = self._owner
+            self.metrics.observe_holds(self._count_holds)
             observe('cactusloft_in_flight_calls', lambda: owner.held)
             observe(
                 'cactusloft_backend_server_rate_limit',
--- a/libs/membership/src/cactusloft_membership/_choice.py
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -105,6 +105,11 @@
         """Return the members to choose from."""
         return self._members
 
+    @property
+    def in_flight(self):
+        """Return the calls from this daemon that have not finished."""
+        return sum(state.in_flight for state in self._states.values())
+
     def update(self, members, now):
         """Replace the members to choose from.
 
--- a/libs/membership/src/cactusloft_membership/_view.py
+++ b/libs/membership/src/cactusloft_membership/_view.py
@@ -34,6 +34,10 @@
         self._last_used_at[service] = now
         return is_new
 
+    def count_in_flight(self):
+        """Return the calls to members that have not finished."""
+        return sum(c.in_flight for c in self._choosers.values())
+
     def list_services(self, now):
         """Return the sorted names of services in use; remove the others."""
         self._last_used_at = {
--- a/libs/quota/src/cactusloft_quota/_debits.py
+++ b/libs/quota/src/cactusloft_quota/_debits.py
@@ -184,6 +184,11 @@
         self._max_spare_tokens = 0.0
         self._spare_refilled_at = now
 
+    @property
+    def held(self):
+        """Return the tokens for calls and those to be returned."""
+        return self._tokens + self._returned
+
     def record_arrival(self):
         """Count a call as demand, once for each call."""
         self._arrivals += 1
