Count the timeout of a request from when it was read

Cause: a connection handles four requests at a time, and the deadline of a request counted from the start of its handling.

--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -107,13 +107,16 @@
         :param caller_service: service of the callers on this host.
         :returns: ``Success(Response)`` or ``Failure(CallError)``.
         """
-        arrived_at = self._now()
+        waited_s = asyncio.get_running_loop().time() - request.read_at
+        arrived_at = self._now() - waited_s
         authorised = self._authorise(request)
         if not pipeline.is_successful(authorised):
             self._record_refusal(request, authorised.failure(), arrived_at)
             return authorised
         route, account_name = authorised.unwrap()
-        call = self._make_call(request, route, account_name, caller_service)
+        call = self._make_call(
+            request, route, account_name, caller_service, arrived_at
+        )
         if not self._stop.takes(self._estimate_end(call)):
             refused = _calls.fail(
                 _E.SHUTTING_DOWN,
@@ -161,7 +164,9 @@
         """Tell whether a document is installed and was recently confirmed."""
         return self._config.version.number > 0 and self._config.is_fresh()
 
-    def _make_call(self, request, route, account_name, caller_service):
+    def _make_call(
+        self, request, route, account_name, caller_service, arrived_at
+    ):
         timeout_ms = route.deadline_ms
         if request.deadline_ms is not None:
             timeout_ms = min(timeout_ms, request.deadline_ms)
@@ -188,7 +193,7 @@
             client_account=account_name,
             service=service,
             priority=priority,
-            deadline=self._now() + timeout_ms / 1000,
+            deadline=arrived_at + timeout_ms / 1000,
             depth=depth,
             idempotent=route.idempotent,
             fingerprint=calls.compute_fingerprint(
--- a/daemon/src/cactusloftd/resident/_http_connection.py
+++ b/daemon/src/cactusloftd/resident/_http_connection.py
@@ -185,6 +185,7 @@
             _read_target(self._target),
             _http_messages.HeaderFields(self._headers),
             b''.join(self._body_parts),
+            self._loop.time(),
         )
         self._queue.append(
             _Exchange(request, self._parser.should_keep_alive())
--- a/daemon/src/cactusloftd/resident/_http_messages.py
+++ b/daemon/src/cactusloftd/resident/_http_messages.py
@@ -32,12 +32,14 @@
     """A request with its whole body.
 
     :ivar target: path and query, exactly as received.
+    :ivar read_at: time of the event loop in seconds at which it was read.
     """
 
     method: str
     target: str
     headers: HeaderFields
     body: bytes
+    read_at: float
 
     @property
     def path(self):
--- a/daemon/src/cactusloftd/resident/protocol.py
+++ b/daemon/src/cactusloftd/resident/protocol.py
@@ -23,6 +23,8 @@
     :ivar deadline_ms: milliseconds that the caller waits, or None.
     :ivar headers: end-to-end headers without the key and without those that
         the resident sets itself.
+    :ivar read_at: time of the event loop in seconds at which it was read; its
+        timeout counts from then.
     """
 
     attempt_id: str
@@ -35,6 +37,7 @@
     body: bytes
     root_id: str
     parent_id: str
+    read_at: float
 
     @property
     def path(self):
--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -1,6 +1,7 @@
 """Stubs of what the entry depends on, for its tests."""
 
 import asyncio
+import time
 import types
 
 import attrs
@@ -205,6 +206,8 @@
         b'',
         root_id,
         parent_id,
+        # The clock of the event loop.
+        time.monotonic(),
     )
 
 
--- a/daemon/tests/resident/test_late_admission.py
+++ b/daemon/tests/resident/test_late_admission.py
@@ -8,14 +8,20 @@
 import time
 import types
 
+import attrs
 import pytest
 
 from cactusloft_model import errors
 from cactusloftd import _metrics
 from cactusloftd.resident import _debits
+from cactusloftd.resident import _http_connection
+from cactusloftd.resident import _http_listener
+from cactusloftd.resident import _http_messages
 
 from . import entry_stubs as stubs
 
+# Of the route that the calls use.
+DEADLINE_S = 0.3
 LONG_S = 20.0
 MAX_S = 10.0
 
@@ -61,3 +67,37 @@
     assert outcome.failure().response.not_run is errors.NotRun.TRUE
     assert not member.calls
     assert returned_tokens == (waits_for == 'members')
+
+
+def test_timeout_counts_from_the_turn_of_a_pipelined_request():
+    """It must count from the time at which the request was read.
+
+    A connection handles some requests at the same time; others wait until
+    these are answered, each of them at its timeout at the latest.
+    """
+    count = _http_connection.MAX_CONCURRENT_REQUESTS + 2
+    member = stubs.Member('m', None)
+
+    async def run():
+        entry = stubs.make_entry(member)
+
+        async def handle(request):
+            made = attrs.evolve(stubs.make_request(), read_at=request.read_at)
+            await entry.serve(made, 'track')
+            return _http_messages.HttpResponse(504)
+
+        listener = _http_listener.HttpListener(handle, stubs.Log())
+        await listener.start('127.0.0.1:0')
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', listener.port
+        )
+        writer.write(b'GET /read/1 HTTP/1.1\r\nHost: x\r\n\r\n' * count)
+        async with asyncio.timeout(MAX_S):
+            for _ in range(count):
+                await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+        await listener.close()
+
+    asyncio.run(run())
+    deadlines = [call.context.deadline for call in member.calls]
+    assert max(deadlines) - min(deadlines) < DEADLINE_S
