--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -23,6 +23,8 @@
 
 SEND_TIMEOUT_S = 1.0
 APPLY_TIMEOUT_S = 5.0
+# A leader that no majority confirms steps down before this time has passed.
+CONFIRM_TIMEOUT_S = 1.5
 FORWARD_TIMEOUT_S = 6.0
 CONNECT_TIMEOUT_S = 0.5
 # Operators' requests wait this long for a leader: longer than an election.
@@ -109,6 +111,8 @@
     :param now: function that returns monotonic seconds.
     :param on_change: function called when the document may have changed.
     :raises storage.StorageError: when the data folder cannot be used.
+    :ivar wait_until_installed: coroutine function(version) called before an
+        accepted change is acknowledged.
     """
 
     def __init__(self, settings, peer_node, log, parser, now, on_change):
@@ -118,6 +122,7 @@
         self._own_address = make_address(settings)
         self._sender_addresses = {}
         self._applied_version = 0
+        self.wait_until_installed = _wait_for_none
         self._min_voters = settings.least_voters
         files = storage.FolderFiles(settings.data_folder)
         opened, persisted = storage.open_storage(files, secrets.token_bytes)
@@ -193,6 +198,11 @@
         """
         if isinstance(request, _messages.ApplyRequest):
             return await self._apply(request)
+        # A leader that was suspended may have a successor and not know it yet.
+        # What it knows is older than what the successor has acknowledged.
+        confirmed = await self.replica.confirm(CONFIRM_TIMEOUT_S)
+        if not pipeline.is_successful(confirmed):
+            return refuse(confirmed.failure())
         store = self.replica.store
         if isinstance(request, _messages.HistoryRequest):
             return make_answer(store.list_revisions())
@@ -276,6 +286,7 @@
             if applied.kind is documents.OutcomeKind.CHANGE_ID_REUSED:
                 detail = 'the change id belongs to another change'
             return self._refuse_change(request, _E.VERSION_CONFLICT, detail)
+        await self.wait_until_installed(applied.version)
         return make_answer(Applied(applied.version))
 
     def _count_voters(self):
@@ -327,6 +338,10 @@
         return _messages.MessageAck()
 
 
+async def _wait_for_none(_version):
+    """Acknowledge a change at once."""
+
+
 def make_answer(content):
     """Return a :class:`ControlReply` with ``content`` as JSON."""
     return _messages.ControlReply(None, msgspec.json.encode(content))
