Find the members of a service first used while control hosts settle

Callers got `no_backend_server` ("no member") for a service whose members ran and were registered, - for up to 3 s, when their daemon used the service for the first time (a new version moves a route there, say) after the control hosts had restarted: a host that has not settled answered such a daemon with no table at all, so that it keeps the members of the services that it knows; - at once, when the daemon itself had restarted too: it took the first, empty table as an answer and failed calls that a member which registered moments later could have served.

The daemon now reports of which services it never got a complete list. A host that has not settled lists the members of these alone, and the daemon replaces only them. Differences are sent only between tables of the same extent. The first call to a service waits for a member or a complete list, within the same second as before, and is then refused with 503 and Retry-After 0.2 s as before; a service without members in a complete list is still refused at once.

--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -50,7 +50,8 @@
         self._make_registration = make_registration
         self._view = view
         self._now = now
-        self._known_services = set()
+        # Services of which a complete list of members was received.
+        self._complete_services = set()
         # Registrations by name that the home sent.
         self._registrations = {}
         self._first_used_at = {}
@@ -71,23 +72,34 @@
     async def prepare(self, service):
         """Request the members of ``service`` at its first use.
 
-        This call and those that follow wait for the members, until
-        ``FIRST_USE_TIMEOUT_S`` after the first call.
+        This call and those that follow wait for a member or a complete list,
+        until ``FIRST_USE_TIMEOUT_S`` after the first call.
         """
         now = self._now()
         if self._view.record_use(service, now):
             self._first_used_at[service] = now
             self.on_report_due()
-        if service in self._known_services:
+        if self._is_known(service):
             return
         # The timeout starts with the first call. If each call waited in full,
         # calls would pile up while a control host settles.
         remaining_s = self._first_used_at[service] + FIRST_USE_TIMEOUT_S - now
         if remaining_s > 0:
             await self._wait_until(
-                lambda: service in self._known_services, remaining_s
+                lambda: self._is_known(service), remaining_s
             )
 
+    def _is_known(self, service):
+        """Tell whether the members of a service may be chosen from.
+
+        Just after a restart of the control hosts a list may be empty although
+        members run, since they have not registered there yet.
+        """
+        return service in self._complete_services or any(
+            member.service == service and member.is_serving
+            for member in self._registrations.values()
+        )
+
     async def report_now(self):
         """Report a change of state and wait for the ack of the home."""
         previous_sequence = self._reported_sequence
@@ -113,7 +125,7 @@
     def make_report(self):
         """Return the report to the home of this daemon."""
         services = tuple(self._view.list_services(self._now()))
-        self._known_services.intersection_update(services)
+        self._complete_services.intersection_update(services)
         for service in set(self._first_used_at).difference(services):
             del self._first_used_at[service]
         registration = self._make_registration()
@@ -123,6 +135,7 @@
             services,
             not self._is_settled,
             tuple(self._view.list_recent_departures(self._now())),
+            tuple(s for s in services if s not in self._complete_services),
         )
         return msgspec.msgpack.encode(report)
 
@@ -131,14 +144,15 @@
         table = msgspec.msgpack.decode(content, type=_messages.MembersTable)
         self._is_settled = self._is_settled or table.is_settled
         if not table.is_difference:
-            self._registrations.clear()
+            self._registrations = self._list_kept(table)
         for name in table.removed:
             self._registrations.pop(name, None)
         self._registrations.update((m.name, m) for m in table.members)
         self._view.update(
             table.services, self._registrations.values(), self._now()
         )
-        self._known_services.update(table.services)
+        if table.is_settled:
+            self._complete_services.update(table.services)
         if table.leaving_process is not None:
             self._confirmed_departure = table.leaving_process
             self.on_departure(table.leaving_process)
@@ -152,6 +166,19 @@
             for member in self._view.list_members()
         }
 
+    def _list_kept(self, table):
+        """Return the registrations that a table does not replace, by name.
+
+        A table that may be incomplete covers only its services.
+        """
+        if table.is_settled:
+            return {}
+        return {
+            name: member
+            for name, member in self._registrations.items()
+            if member.service not in table.services
+        }
+
     async def _wait_until(self, is_true, timeout_s):
         """Wait for a condition that a table of the home makes true."""
         try:
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -158,12 +158,15 @@
         as it does right after its start.
     :ivar departures: processes of backend servers that the daemon lately knew
         to leave.
+    :ivar incomplete_services: services of which the daemon never got a
+        complete list of members.
     """
 
     registration: registry.Registration
     services: tuple[str, ...]
     takes_part: bool = False
     departures: tuple[registry.BackendProcess, ...] = ()
+    incomplete_services: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -171,7 +174,8 @@
     """Content of the table of members.
 
     :ivar sequence: sequence of the last registration accepted.
-    :ivar services: services that were asked for.
+    :ivar services: services that were asked for, or those of them whose list
+        may be incomplete.
     :ivar members: all members, or those that changed since the version that
         the daemon has.
     :ivar is_settled: whether all daemons have had time to register.
--- a/daemon/src/cactusloftd/_registrations.py
+++ b/daemon/src/cactusloftd/_registrations.py
@@ -29,6 +29,22 @@
 ISOLATION_AGE_S = 1.5
 
 
+@attrs.frozen
+class _SentTable:
+    """A table that was sent to a daemon.
+
+    :ivar is_complete: whether it had all services that the daemon used.
+    """
+
+    version: int
+    services: tuple[str, ...]
+    is_complete: bool
+    members: dict[str, registry.Registration]
+
+
+_NOTHING_SENT = _SentTable(0, (), False, {})
+
+
 class RegistrationServer:
     """Home table of a control host, and its copies of the other home tables.
 
@@ -54,7 +70,7 @@
         self._copies = exchange.HomeCopies(self._registry)
         self._settled_at = now() + exchange.REGISTRATION_SETTLE_S
         self._reports = {}
-        # Version and members of the last table sent to each daemon.
+        # The last table sent to each daemon.
         self._sent = {}
         self._notified_changes = 0
         self._notice = None
@@ -81,23 +97,36 @@
         self._notify_changes()
         version = self._compute_version(report, now)
         is_settled = self._is_settled(now)
-        if version == request.known:
-            return None
+        services = report.services
         if not is_settled and not report.takes_part:
+            # The daemon keeps the members that it knows of the others.
+            services = report.incomplete_services
+            if not services:
+                return None
+        if version == request.known:
             return None
         members = {
             member.name: member
-            for member in self._registry.list_members(report.services, now)
+            for member in self._registry.list_members(services, now)
         }
-        sent_version, sent = self._sent.get(daemon, (0, {}))
-        is_difference = bool(request.known) and sent_version == request.known
+        sent = self._sent.get(daemon, _NOTHING_SENT)
+        is_complete = services == report.services
+        is_difference = (
+            bool(request.known)
+            and sent.version == request.known
+            and (
+                sent.services == services or (sent.is_complete and is_complete)
+            )
+        )
         changed, removed = members.values(), ()
         if is_difference:
-            changed, removed = _list_differences(sent, members)
-        self._sent[daemon] = version, members
+            changed, removed = _list_differences(sent.members, members)
+        self._sent[daemon] = _SentTable(
+            version, services, is_complete, members
+        )
         table = _messages.MembersTable(
             report.registration.sequence,
-            report.services,
+            services,
             tuple(changed),
             is_settled,
             is_difference,
@@ -208,6 +237,7 @@
         inputs = (
             self._incarnation,
             report.services,
+            () if self._is_settled(now) else report.incomplete_services,
             attrs.evolve(state, sequence=0),
             self._find_leaving_process(report),
             self._is_settled(now),
--- a/daemon/tests/test_members.py
+++ b/daemon/tests/test_members.py
@@ -1,10 +1,14 @@
 """Tests of a daemon's lookups of members at control hosts."""
 
 import asyncio
+import random
 
+import attrs
+import msgspec
 from returns import result
 
 import cactusloft_link as link
+from cactusloft_membership import choice
 from cactusloft_membership import registry
 from cactusloftd import _control_hosts
 from cactusloftd import _members
@@ -38,10 +42,10 @@
         return NewLink()
 
 
-def make_members():
+def make_members(view=None):
     """Return a :class:`_members.Members` with one control host."""
     host = _control_hosts.ControlHost('c1', 'dc1', None)
-    return _members.Members(Node(), [host], None, _View(), lambda: 0.0)
+    return _members.Members(Node(), [host], None, view or _View(), lambda: 0.0)
 
 
 class _View:
@@ -60,3 +64,49 @@
     The credit was denied, and the call was not retried.
     """
     assert asyncio.run(make_members().resolve('d1')) == REGISTRATION
+
+
+def make_table(*members, is_settled):
+    """Return a table of the members of the service ``stock``."""
+    table = _messages.MembersTable(1, ('stock',), members, is_settled)
+    return msgspec.msgpack.encode(table)
+
+
+def test_first_call_fails_for_a_table_that_is_not_complete():
+    """It was refused although the only member registered moments later."""
+    member = attrs.evolve(REGISTRATION, service='stock', is_serving=True)
+
+    async def call():
+        members = make_members(
+            choice.MembershipView('d0', 'dc1', random.Random(1))
+        )
+        members.on_report_due = lambda: members.apply_table(
+            make_table(is_settled=False)
+        )
+        prepared = asyncio.create_task(members.prepare('stock'))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert not prepared.done()
+        members.apply_table(make_table(member, is_settled=False))
+        await prepared
+        return members.choose('stock', set())
+
+    assert asyncio.run(call()) == member
+
+
+def test_first_call_waits_although_the_table_is_complete():
+    """A service without members must be refused at once."""
+
+    async def call():
+        members = make_members(
+            choice.MembershipView('d0', 'dc1', random.Random(1))
+        )
+        members.on_report_due = lambda: members.apply_table(
+            make_table(is_settled=True)
+        )
+        prepared = asyncio.create_task(members.prepare('stock'))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return prepared.done()
+
+    assert asyncio.run(call())
--- a/daemon/tests/test_registrations.py
+++ b/daemon/tests/test_registrations.py
@@ -4,7 +4,6 @@
 import types
 
 import attrs
-import msgspec
 
 from cactusloft_membership import registry
 from cactusloftd import _control_hosts
@@ -29,6 +28,20 @@
 
     def __init__(self):
         self._clock = 100.0
+        self.services = SERVICES
+        self.restart_server()
+        self.settle()
+        self.members = _members.Members(
+            types.SimpleNamespace(connect=lambda address: None),
+            (),
+            lambda: OWN,
+            View(self),
+            lambda: 0.0,
+        )
+        self.sent_bytes = 0
+
+    def restart_server(self):
+        """Replace the control host by one that knows no members."""
         settings = types.SimpleNamespace(
             name='c1', document_file='', control_hosts=()
         )
@@ -39,17 +52,12 @@
             types.SimpleNamespace(age_s=0.1),
             lambda: self._clock,
         )
-        self._clock += 10.0
         self._known = 0
         self._registry = self.server._registry
-        self.members = _members.Members(
-            types.SimpleNamespace(connect=lambda address: None),
-            (),
-            None,
-            View(),
-            lambda: 0.0,
-        )
-        self.sent_bytes = 0
+
+    def settle(self):
+        """Wait until all daemons have had time to register."""
+        self._clock += 10.0
 
     def store(self, *members):
         """Register members at this home."""
@@ -58,9 +66,8 @@
 
     def exchange(self, loses_reply=False):
         """Send a report; apply the reply unless it is lost."""
-        report = _messages.MembersReport(OWN, SERVICES, False)
         request = _messages.TableRequest(
-            'members', self._known, msgspec.msgpack.encode(report)
+            'members', self._known, self.members.make_report()
         )
         table = self.server.exchange('d0', request)
         if table is None or loses_reply:
@@ -75,7 +82,16 @@
 
 
 class View:
-    """A view that accepts updates."""
+    """A view of the services that the daemon uses."""
+
+    def __init__(self, home):
+        self._home = home
+
+    def list_services(self, now):
+        return self._home.services
+
+    def list_recent_departures(self, now):
+        return []
 
     def update(self, services, members, now):
         list(members)
@@ -154,3 +170,30 @@
         for name, data_centre in (('c1', 'west'), ('c2', 'east'))
     )
     assert rotation.find_current().name == 'c2'
+
+
+def test_first_call_to_a_service_while_control_hosts_settle():
+    """It found no member for up to 3 s after all control hosts restarted.
+
+    The members of other services, which the restarted host may not know yet,
+    must be kept until it has settled.
+    """
+
+    def check(home):
+        home.store(make_member('d1'), make_member('d2'))
+        home.exchange()
+        home.restart_server()
+        home.store(make_member('d3', service='track'))
+        home.services = ('stock', 'track')
+        home.exchange()
+        assert set(home.list_known()) == {'d1', 'd2', 'd3'}
+        home.store(make_member('d4', service='track'))
+        home.exchange()
+        assert set(home.list_known()) == {'d1', 'd2', 'd3', 'd4'}
+        home.settle()
+        home.store(make_member('d1', sequence=2))
+        home.store(make_member('d3', sequence=2, service='track'))
+        home.exchange()
+        assert set(home.list_known()) == {'d1', 'd3'}
+
+    run(check)
