Ask the next control host while a frozen one holds a change

A daemon that knows no leader asked the control hosts in turn and waited for each until its link was closed, 1.6 s, or for 6 s. An operator had no answer in time although a majority worked. The next one is now asked after 0.5 s, while the earlier requests stay open; the first reply of a leader counts. Changes of replicas are still sent to one at a time, because a second removal of a replica is refused as not found.

Evidence, simulated time, the frozen ones first in the order, seconds to the answer before -> now (bound: 4 s), for 1 of 3, 2 of 5 and 5 of 11: link closed after 1.6 s 1.61 3.21 8.01 -> 0.51 1.01 2.11 link not closed 6.01 12.01 30.01 -> 0.51 1.01 2.51 Four of these six cases failed before.

--- a/daemon/src/cactusloftd/_operators.py
+++ b/daemon/src/cactusloftd/_operators.py
@@ -16,6 +16,9 @@
 from cactusloftd import _control_hosts
 from cactusloftd import _messages
 
+# A change must be acknowledged within 4 s, also if five of eleven control
+# hosts, asked first, are frozen.
+NEXT_HOST_DELAY_S = 0.5
 _E = errors.ErrorKind
 
 
@@ -101,17 +104,49 @@
         return self._control.find_leader_address() not in (None, leader)
 
     async def _send_to_hosts(self, request):
+        """Ask the control hosts in turn; the first that can answer does.
+
+        One that has not answered in time stays asked while the next one is,
+        except for changes of replicas, which must not overlap.
+        """
+        interval_s = NEXT_HOST_DELAY_S
+        if isinstance(request, _messages.ReplicaChange):
+            interval_s = None
         reply = _control.refuse_unavailable('no control host answers')
-        for host in self._list_hosts():
-            # Each host may forward it once, to the leader that it knows.
+        hosts, pending = iter(self._list_hosts()), set()
+        try:
+            while True:
+                host = next(hosts, None)
+                if host is not None:
+                    pending.add(
+                        asyncio.ensure_future(self._ask(host, request))
+                    )
+                if not pending:
+                    return reply
+                done, pending = await asyncio.wait(
+                    pending,
+                    timeout=None if host is None else interval_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    reply = task.result()
+                    if not _is_unavailable(reply):
+                        return reply
+        finally:
+            for task in pending:
+                task.cancel()
+
+    async def _ask(self, host, request):
+        """Return the reply of a control host, which may forward it once."""
+        reply = None
+        try:
             reply = await self._send(host.address, request)
-            if not _is_unavailable(reply):
-                return reply
-            # Ask a host that was unavailable after all others next time.
-            self._unresponsive = [
-                h for h in self._unresponsive if h != host
-            ] + [host]
-        return reply
+            return reply
+        finally:
+            if reply is None or _is_unavailable(reply):
+                # Ask it after all others next time.
+                others = [h for h in self._unresponsive if h != host]
+                self._unresponsive = others + [host]
 
     def _list_hosts(self):
         """Return the other control hosts, unresponsive ones at the end."""
--- a/daemon/tests/watch/test_operators.py
+++ b/daemon/tests/watch/test_operators.py
@@ -46,6 +46,13 @@
         return result.Success(_control.make_answer(_control.Applied(2)))
 
 
+class _IdleLink(_Link):
+    """Link on which nothing was sent before, so that it looks up."""
+
+    async def wait_until_up(self, _timeout_s):
+        return True
+
+
 def _make_control():
     def find_leader_address():
         return 'new' if fleets.now() >= ELECTED_AT else 'old'
@@ -78,3 +85,33 @@
     refusal, answered_at = fleets.run_simulated(run())
     print(f'frozen for {frozen_s} s: answered after {answered_at:.2f} s')
     assert refusal is None and answered_at <= ACK_S
+
+
+@pytest.mark.parametrize('size, minority', [(3, 1), (5, 2), (11, 5)])
+@pytest.mark.parametrize('frozen_s', [LINK_TIMEOUT_S, 100.0])
+def test_frozen_control_hosts_hold_a_change_in_turn(size, minority, frozen_s):
+    """A daemon without a replica must not wait for each of them in full.
+
+    Each link looks up until the control host is asked.
+    """
+    links = [_IdleLink(frozen_s)] * minority
+    links += [_Link(0.0)] * (size - minority)
+    hosts = [
+        types.SimpleNamespace(name=str(number), address=number)
+        for number in range(size)
+    ]
+
+    async def run():
+        operators = _operators.Operators(
+            types.SimpleNamespace(name='d', control_hosts=hosts),
+            types.SimpleNamespace(connect=links.__getitem__),
+            None,
+            fleets.now,
+        )
+        await asyncio.sleep(ELECTED_AT)
+        reply = await operators.execute(REQUEST)
+        return reply.refusal, fleets.now() - ELECTED_AT
+
+    refusal, delay_s = fleets.run_simulated(run())
+    print(f'{minority} of {size} frozen, {frozen_s} s: {delay_s:.2f} s')
+    assert refusal is None and delay_s <= ACK_S
