--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -2,17 +2,15 @@
 
 import asyncio
 
-import attrs
 from returns import pipeline
-from returns import result
 
-from cactusloft_model import document
 from cactusloft_model import events
 from cactusloftd import _control_group
 from cactusloftd import _control_hosts
 from cactusloftd import _installed
 from cactusloftd import _internal_errors
 from cactusloftd import _messages
+from cactusloftd import _watch_answers
 from cactusloftd import _watch_search
 from cactusloftd import _watch_times
 
@@ -29,21 +27,6 @@
 _V = events.Event
 
 
-@attrs.frozen
-class _Answer:
-    """Reply to a watch, and what was known when the watch was sent.
-
-    :ivar fault: why there is no reply, empty with one.
-    :ivar sent_at: monotonic seconds before the watch was sent.
-    :ivar base: document that was installed then.
-    """
-
-    fault: str
-    reply: _messages.WatchReply | None = None
-    sent_at: float = 0.0
-    base: document.Document = document.EMPTY_DOCUMENT
-
-
 class Watcher:
     """Keep the installed document and the attached tables current.
 
@@ -298,14 +281,14 @@
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _ask(self, host, times, is_home):
-        """Send a watch; return the :class:`_Answer`.
+        """Send a watch; return the :class:`_watch_answers.Answer`.
 
         :param is_home: whether to exchange the tables; only then may a new
             report cancel the poll, once it is sent.
         """
         peer = self._node.connect(host.address)
         if not await peer.wait_until_up(CONNECT_TIMEOUT_S):
-            return _Answer(_NOT_CONNECTED)
+            return _watch_answers.Answer(_NOT_CONNECTED)
         tables = ()
         if is_home:
             self._until_report = asyncio.current_task()
@@ -330,8 +313,8 @@
                 self._until_report = None
         if not pipeline.is_successful(reply):
             self._log.record(_V.CONTROL_HOST_SILENT, control_host=host.name)
-            return _Answer(_NO_RESPONSE)
-        return _Answer('', reply.unwrap(), sent_at, base)
+            return _watch_answers.Answer(_NO_RESPONSE)
+        return _watch_answers.Answer('', reply.unwrap(), sent_at, base)
 
     def _list_reports(self):
         for name, (make_report, _) in self._tables.items():
@@ -359,7 +342,7 @@
         self._install(
             version,
             confirmed_at,
-            lambda: _patch(answer.base, reply),
+            answer.patch_base,
             host.name,
         )
         return self._now() - confirmed_at < _watch_times.MAX_HOME_AGE_S
@@ -395,15 +378,3 @@
             version, confirmed_at, make_document, source
         ):
             self._on_change()
-
-
-def _patch(base, answer):
-    """Return the document that results from an answer, as a Result.
-
-    :param base: document installed when the watch was sent.
-    """
-    if answer.changes is None:
-        return result.Failure(('the answer holds no changes',))
-    if not answer.base_version:
-        base = document.EMPTY_DOCUMENT
-    return document.patch_document(base, answer.changes)
