Write no infinite numbers to log lines

What operators saw: a refused read or a lost control host before the first confirmation left a line with "Infinity", which strict JSON readers reject.

Cause: ages are infinite without a confirmation, and the lines were written as they came. Change: a number that is not finite is written as null.

Evidence: test_infinite_age_makes_a_line_unreadable failed before and passes.

--- a/daemon/src/cactusloftd/resident/_line_log.py
+++ b/daemon/src/cactusloftd/resident/_line_log.py
@@ -7,6 +7,7 @@
 """
 
 import errno
+import math
 import os
 import time
 
@@ -139,10 +140,7 @@
         self._write(event, fields)
 
     def _write(self, event, fields):
-        plain = {
-            name: value if isinstance(value, _PLAIN_TYPES) else str(value)
-            for name, value in fields.items()
-        }
+        plain = {name: _make_plain(value) for name, value in fields.items()}
         self._lines.info(event.name.lower(), event_id=int(event), **plain)
 
     def _report_dropped(self, now):
@@ -160,3 +158,10 @@
             events.Event.LINES_DROPPED,
             {'by_event': str(by_event), 'unread': self._writer.dropped},
         )
+
+
+def _make_plain(value):
+    """Return a value that JSON has, which lacks infinity."""
+    if isinstance(value, float) and not math.isfinite(value):
+        return None
+    return value if isinstance(value, _PLAIN_TYPES) else str(value)
--- a/daemon/tests/resident/test_line_log.py
+++ b/daemon/tests/resident/test_line_log.py
@@ -82,3 +82,13 @@
     for _ in range(10):
         log.record(_V.PEER_LOST, endpoint='127.0.0.1:1')
     os.close(writing)
+
+
+def test_infinite_age_makes_a_line_unreadable():
+    """JSON has no infinity; strict readers would drop the whole line."""
+    reading, writing = os.pipe()
+    log, _ = make_log(writing)
+    log.record(_V.READ_REFUSED, age_s=float('inf'))
+    assert b'Infinity' not in os.read(reading, PIPE_BYTES)
+    os.close(reading)
+    os.close(writing)
