Tell a candidate with each vote which members are silent

What callers saw: a control host that is lost for good could stay a voter for as long as leaders change, which leaves one host less to spare.

Cause: a restarted replica has the shortest election timeout and often wins, and it remembers no heartbeats.

Change: a granted vote carries the missed rounds that the voter knows of, and the candidate takes the higher numbers.

--- a/libs/consensus/src/cactusloft_consensus/_follower.py
+++ b/libs/consensus/src/cactusloft_consensus/_follower.py
@@ -44,6 +44,23 @@
             )
         return rounds
 
+    def _list_missed_rounds(self, now):
+        """Return what this voter knows as :class:`MissedRounds`."""
+        rounds = self._count_earlier_missed_rounds(now)
+        return tuple(
+            _messages.MissedRounds(replica_id, count)
+            for replica_id, count in rounds.items()
+        )
+
+    def _add_missed_rounds(self, missed_rounds):
+        """Add what a voter knows; the higher number of rounds counts."""
+        rounds = {item.replica_id: item for item in self._missed_rounds}
+        for item in missed_rounds:
+            known = rounds.get(item.replica_id)
+            if known is None or known.rounds < item.rounds:
+                rounds[item.replica_id] = item
+        self._missed_rounds = tuple(rounds.values())
+
     def _become_follower(self, term, leader_id, now):
         if term > self.term:
             self.term = term
@@ -149,7 +166,8 @@
             self._voted_for = sender
             self._record_vote()
             self._schedule_election(now)
-        reply = _messages.VoteReply(self.term, granted)
+        missed_rounds = self._list_missed_rounds(now) if granted else ()
+        reply = _messages.VoteReply(self.term, granted, missed_rounds)
         self._send_synced(sender, reply)
 
     def _handle_vote_reply(self, sender, reply, now):
@@ -160,6 +178,7 @@
             return
         if not reply.granted:
             return
+        self._add_missed_rounds(reply.missed_rounds)
         self._granted_by.add(sender)
         if self._has_majority():
             self._become_leader(now)
--- a/libs/consensus/src/cactusloft_consensus/_messages.py
+++ b/libs/consensus/src/cactusloft_consensus/_messages.py
@@ -95,14 +95,6 @@
     last_term: int
 
 
-@attrs.frozen
-class VoteReply:
-    """Reply to :class:`Vote`, sent once the vote is synced."""
-
-    term: int
-    granted: bool
-
-
 @attrs.frozen
 class MissedRounds:
     """Heartbeat rounds that a silent member has not acknowledged."""
@@ -111,6 +103,19 @@
     rounds: int
 
 
+@attrs.frozen
+class VoteReply:
+    """Reply to :class:`Vote`, sent once the vote is synced.
+
+    :ivar missed_rounds: silent members that the voter knows of. A candidate
+        that has just restarted knows of none.
+    """
+
+    term: int
+    granted: bool
+    missed_rounds: tuple[MissedRounds, ...] = ()
+
+
 @attrs.frozen
 class Append:
     """Heartbeat of the leader with zero or more entries.
--- a/libs/consensus/tests/test_voters.py
+++ b/libs/consensus/tests/test_voters.py
@@ -176,6 +176,25 @@
     assert lost_id not in deployment.list_voters()
 
 
+@pytest.mark.parametrize('seed', range(2, 14))
+def test_restarted_leader_learns_which_members_were_silent(make_group, seed):
+    """A restarted replica that wins must not start to count anew."""
+    deployment = Deployment(make_group, Site(5, 1, 4.0), seed=seed)
+    group = deployment.group
+    group.run_until(lambda: len(deployment.list_voters()) == 5)
+    leader = group.find_leader().address
+    lost = next(host for host in group.hosts if host != leader)
+    lost_id = group.hosts[lost].node.replica_id
+    deployment.lose(lost)
+    for _ in range(5):
+        deployment.run_for(4.0)
+        leader = group.find_leader().address
+        group.crash(leader)
+        group.restart(leader)
+    group.run_until(lambda: group.find_leader() is not None)
+    assert lost_id not in deployment.list_voters()
+
+
 def test_short_silence_removes_no_member_of_an_odd_group(make_group):
     """A restart or a short partition must not shrink the group."""
     deployment = Deployment(make_group, Site(5, 1, 4.0), seed=1)
