Acknowledge heartbeats while a follower's disk syncs

What callers saw: changes without a decision on slow disks, and no leader after a restart of all control hosts with syncs of 2 s.

Cause: a reply to a heartbeat waited for the sync in progress and for that of records queued behind it. With syncs of 1 s the leader heard from no majority for 1.2 s and stepped down.

Change: a reply to an append without new records goes out at once while earlier records wait for a disk, with a match of at most the synced index. The index goes back when entries are replaced, and a sync that began before that does not raise it. A disk that needs more than 2.5 s counts as failed: replies wait for it as before, so the replica becomes silent and is removed. Without a sync in progress nothing changes, nor does the number of messages.

Safety: a reply still waits until the current term and vote are synced. An answer before that would probably be safe, since the leader of the term rests on a majority of synced votes, but it isn't needed: the voters of the leader have synced the term. Of a confirmation it is asked only that the follower had voted for no later term when it answered, and a vote is sent after its sync.

--- a/libs/consensus/src/cactusloft_consensus/_follower.py
+++ b/libs/consensus/src/cactusloft_consensus/_follower.py
@@ -77,6 +77,8 @@
         if entries and entries[0].index <= self.commit_index:
             raise ConsensusError('the leader contradicts a committed entry')
         if entries:
+            if entries[0].index <= self.log.last_index:
+                self._syncs.truncate(entries[0].index - 1)
             self.log.append(entries)
             self._records.append(_messages.EntriesRecord(entries))
         match = prev_index + len(append.entries)
@@ -101,12 +103,29 @@
         snapshot = message.snapshot
         if snapshot.index > self.commit_index:
             self.log.replace(snapshot)
+            self._syncs.truncate(0)
             self.commit_index = self._collected_index = snapshot.index
             self._pending_snapshot = snapshot
             self._record_rewrite()
-        self._reply(sender, True, snapshot.index, message.round_id, now)
+        self._reply(
+            sender, True, snapshot.index, message.round_id, now, is_synced=True
+        )
+
+    def _reply(self, sender, accepted, match, round_id, now, is_synced=False):
+        """Reply to the leader, with ``match`` at most the synced index.
 
-    def _reply(self, sender, accepted, match, round_id, now):
+        A reply without new records does not wait for the sync of earlier
+        ones, or a slow disk would make the leader lose its majority. It does
+        wait for the current term, and for a disk that counts as failed.
+        """
+        is_immediate = (
+            not is_synced
+            and not self._records
+            and not self._syncs.is_vote_pending
+            and self._is_disk_busy(now)
+        )
+        if is_immediate and accepted:
+            match = min(match, self._syncs.synced_index)
         self._last_token += 1
         self._token_times[self._last_token] = now
         if len(self._token_times) > MAX_KEPT_TOKENS:
@@ -114,7 +133,10 @@
         reply = _messages.AppendReply(
             self.term, accepted, match, round_id, self._last_token
         )
-        self._send_synced(sender, reply)
+        if is_immediate:
+            self._send(sender, reply)
+        else:
+            self._send_synced(sender, reply)
 
     @abc.abstractmethod
     def _handle_append_reply(self, sender, reply, now):
--- a/libs/consensus/tests/test_slow_elections.py
+++ b/libs/consensus/tests/test_slow_elections.py
@@ -2,10 +2,16 @@
 
 import pytest
 
+from cactusloft_consensus import documents
+
 # Bound of the users' rule RECOVER for the return of all machines.
 RECOVER_S = 15.0
+# Bound of the users' rules for the acknowledgement of a change (``ack``).
+ACK_S = 4.0
 # Time after the end of a disruption from which the users' rules hold again.
 CONTACT_S = 3.0
+# Slowest sync that the design bears, docs/design.md section 5.7.
+SLOWEST_SYNC_S = 2.0
 
 
 def _make_group(make_group, voters, seed):
@@ -52,7 +58,7 @@
 
 @pytest.mark.parametrize('seed', range(4))
 @pytest.mark.parametrize('voters', [3, 5, 11, 15])
-@pytest.mark.parametrize('sync_s', [0.1, 0.2, 0.3, 0.5, 1.0])
+@pytest.mark.parametrize('sync_s', [0.1, 0.2, 0.3, 0.5, 1.0, SLOWEST_SYNC_S])
 def test_restarted_group_with_slow_syncs_elects(
     make_group, sync_s, voters, seed
 ):
@@ -68,7 +74,7 @@
 
 @pytest.mark.parametrize('seed', range(4))
 @pytest.mark.parametrize('voters', [3, 5, 11, 15])
-@pytest.mark.parametrize('sync_s', [0.005, 0.1, 1.0])
+@pytest.mark.parametrize('sync_s', [0.005, 0.1, 1.0, SLOWEST_SYNC_S])
 def test_restarted_group_with_slow_messages_elects(
     make_group, sync_s, voters, seed
 ):
@@ -95,6 +101,33 @@
     _await_leader(group)
 
 
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('voters', [3, 5, 11, 15])
+@pytest.mark.parametrize('delay_s', [0.05, 0.3])
+@pytest.mark.parametrize('sync_s', [0.1, 0.3, 1.0])
+def test_leader_with_slow_syncs_keeps_leading(
+    make_group, sync_s, delay_s, voters, seed
+):
+    """Slow syncs must not make a leader step down or changes fail.
+
+    Confirmations of heartbeats used to wait for the sync of new entries.
+    """
+    group = _make_group(make_group, voters, seed)
+    _await_leader(group)
+    group.max_delay_s = delay_s
+    _slow_syncs(group, sync_s)
+    leader, term = group.find_leader(), group.find_leader().node.term
+    for number in range(1, 30):
+        group.propose(number, f'change-{number}', address=leader.address)
+        group.run_until(
+            lambda: f'change-{number}' in group.acknowledged, ACK_S
+        )
+        outcome, _ = group.acknowledged[f'change-{number}']
+        assert outcome.kind is documents.OutcomeKind.ACCEPTED
+        assert leader.node.is_leader and leader.node.term == term
+    assert group.now - leader.node.confirmed_at < ACK_S
+
+
 @pytest.mark.parametrize('seed', range(6))
 @pytest.mark.parametrize('voters', [3, 5, 11, 15])
 def test_group_elects_soon_after_a_long_partition(make_group, voters, seed):
