--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -42,6 +42,8 @@
     :ivar on_report_due: function called when a report must be sent at once.
     :ivar on_departure: function called with the process of the local backend
         server when the home knows that it has announced its departure.
+    :ivar on_call: function called when a call to a member begins.
+    :ivar on_call_end: function called when it is no longer in flight.
     """
 
     def __init__(self, node, control_hosts, make_registration, view, now):
@@ -50,7 +52,8 @@
         self._make_registration = make_registration
         self._view = view
         self._now = now
-        self._known_services = set()
+        # Services of which a complete list of members was received.
+        self._complete_services = set()
         # Registrations by name that the home sent.
         self._registrations = {}
         self._first_used_at = {}
@@ -63,6 +66,7 @@
         self.find_home = lambda: None
         self.on_report_due = lambda: None
         self.on_departure = lambda process: None
+        self.on_call = self.on_call_end = lambda: None
 
     def list_members(self):
         """Return the registrations of the services in use."""
@@ -71,23 +75,34 @@
     async def prepare(self, service):
         """Request the members of ``service`` at its first use.
 
-        This call and those that follow wait for the members, until
-        ``FIRST_USE_TIMEOUT_S`` after the first call.
+        This call and those that follow wait for a member or a complete list,
+        until ``FIRST_USE_TIMEOUT_S`` after the first call.
         """
         now = self._now()
         if self._view.record_use(service, now):
             self._first_used_at[service] = now
             self.on_report_due()
-        if service in self._known_services:
+        if self._is_known(service):
             return
         # The timeout starts with the first call. If each call waited in full,
         # calls would pile up while a control host settles.
         remaining_s = self._first_used_at[service] + FIRST_USE_TIMEOUT_S - now
         if remaining_s > 0:
             await self._wait_until(
-                lambda: service in self._known_services, remaining_s
+                lambda: self._is_known(service), remaining_s
             )
 
+    def _is_known(self, service):
+        """Tell whether the members of a service may be chosen from.
+
+        Just after a restart of the control hosts a list may be empty although
+        members run, since they have not registered there yet.
+        """
+        return service in self._complete_services or any(
+            member.service == service and member.is_serving
+            for member in self._registrations.values()
+        )
+
     async def report_now(self):
         """Report a change of state and wait for the ack of the home."""
         previous_sequence = self._reported_sequence
@@ -113,7 +128,7 @@
     def make_report(self):
         """Return the report to the home of this daemon."""
         services = tuple(self._view.list_services(self._now()))
-        self._known_services.intersection_update(services)
+        self._complete_services.intersection_update(services)
         for service in set(self._first_used_at).difference(services):
             del self._first_used_at[service]
         registration = self._make_registration()
@@ -123,6 +138,7 @@
             services,
             not self._is_settled,
             tuple(self._view.list_recent_departures(self._now())),
+            tuple(s for s in services if s not in self._complete_services),
         )
         return msgspec.msgpack.encode(report)
 
@@ -131,14 +147,15 @@
         table = msgspec.msgpack.decode(content, type=_messages.MembersTable)
         self._is_settled = self._is_settled or table.is_settled
         if not table.is_difference:
-            self._registrations.clear()
+            self._registrations = self._list_kept(table)
         for name in table.removed:
             self._registrations.pop(name, None)
         self._registrations.update((m.name, m) for m in table.members)
         self._view.update(
             table.services, self._registrations.values(), self._now()
         )
-        self._known_services.update(table.services)
+        if table.is_settled:
+            self._complete_services.update(table.services)
         if table.leaving_process is not None:
             self._confirmed_departure = table.leaving_process
             self.on_departure(table.leaving_process)
@@ -152,6 +169,19 @@
             for member in self._view.list_members()
         }
 
+    def _list_kept(self, table):
+        """Return the registrations that a table does not replace, by name.
+
+        A table that may be incomplete covers only its services.
+        """
+        if table.is_settled:
+            return {}
+        return {
+            name: member
+            for name, member in self._registrations.items()
+            if member.service not in table.services
+        }
+
     async def _wait_until(self, is_true, timeout_s):
         """Wait for a condition that a table of the home makes true."""
         try:
@@ -235,6 +265,10 @@
         """
         return self._view.find_chooser(service).find_mean_latency(kind)
 
+    def count_in_flight(self):
+        """Return the calls to members that have not finished."""
+        return self._view.count_in_flight()
+
     def record_departure(self, process):
         """Send no more calls to a :class:`registry.BackendProcess`."""
         self._view.record_departure(process, self._now())
@@ -247,6 +281,8 @@
             self._view.find_chooser(member.service),
             self._now,
             self.record_departure,
+            self.on_call,
+            self.on_call_end,
         )
 
     def connect(self, member):
@@ -267,13 +303,24 @@
 class _MemberRunner:
     """Run calls on a member, and record their number, pressure and latency."""
 
-    def __init__(self, member, peer, chooser, now, record_departure):
+    def __init__(
+        self,
+        member,
+        peer,
+        chooser,
+        now,
+        record_departure,
+        on_call,
+        on_call_end,
+    ):
         self._name = member.name
         self._peer = peer
         self._owner = _peers.RemoteOwner(peer, now)
         self._chooser = chooser
         self._now = now
         self._record_departure = record_departure
+        self._on_call = on_call
+        self._on_call_end = on_call_end
 
     @property
     def load(self):
@@ -289,6 +336,7 @@
 
         :returns: ``Success(Response)`` or ``Failure(CallError)``.
         """
+        self._on_call()
         self._chooser.begin(self._name)
         finishes_on_close = False
         started_at = self._now()
@@ -316,14 +364,18 @@
             return outcome
         finally:
             if not finishes_on_close:
-                self._chooser.finish(self._name)
+                self._finish()
+
+    def _finish(self):
+        self._chooser.finish(self._name)
+        self._on_call_end()
 
     def _finish_on_close(self, response):
         """Count the call as in flight until its response is closed."""
         close_response = response.close
 
         async def close():
-            self._chooser.finish(self._name)
+            self._finish()
             await close_response()
 
         response.close = close
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -13,6 +13,7 @@
 import cactusloft_quota as quota
 from cactusloft_retry import marks as retry_marks
 from cactusloftd import _rate_messages
+from cactusloftd import _rollout_messages
 
 
 @attrs.frozen
@@ -158,12 +159,15 @@
         as it does right after its start.
     :ivar departures: processes of backend servers that the daemon lately knew
         to leave.
+    :ivar incomplete_services: services of which the daemon never got a
+        complete list of members.
     """
 
     registration: registry.Registration
     services: tuple[str, ...]
     takes_part: bool = False
     departures: tuple[registry.BackendProcess, ...] = ()
+    incomplete_services: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -171,7 +175,8 @@
     """Content of the table of members.
 
     :ivar sequence: sequence of the last registration accepted.
-    :ivar services: services that were asked for.
+    :ivar services: services that were asked for, or those of them whose list
+        may be incomplete.
     :ivar members: all members, or those that changed since the version that
         the daemon has.
     :ivar is_settled: whether all daemons have had time to register.
@@ -393,6 +398,8 @@
     26: ReplicaChange,
     27: ControlReply,
     28: ShowRequest,
+    29: _rollout_messages.RolloutQuery,
+    36: _rollout_messages.RolloutReply,
     12: Lookup,
     13: exchange.HomeUpdate,
     14: exchange.HomeAck,
--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -10,6 +10,7 @@
 
 from returns import result
 
+import cactusloft_link as link
 from cactusloft_model import errors
 import cactusloft_quota as quota
 from cactusloftd import _calls
@@ -23,6 +24,8 @@
 # time.
 RETURN_INTERVAL_S = 0.25
 LEADER_POLL_INTERVAL_S = 0.1
+# Resource in the metrics.
+TOKEN = 'token'
 _E = errors.ErrorKind
 
 
@@ -56,23 +59,29 @@
         """Take a token from the account of a call, from the leader if needed.
 
         :param context: :class:`calls.CallContext`.
-        :returns: ``Success(None)`` or ``Failure(CallError)``.
+        :returns: ``Success`` of whether the token is one of the leader's, to
+            which it can be returned, or ``Failure(CallError)``.
         """
         name = context.client_account
         account = self._config.current.accounts.get(name)
         if account is None or not account.rate:
-            return result.Success(None)
+            return result.Success(False)
         holder = self._find_holder(name)
         holder.record_arrival()
         if holder.take(self._now()):
-            return result.Success(None)
+            self._metrics.release(TOKEN)
+            return result.Success(True)
         if not self._has_contact:
             return self._admit_without_leader(account, holder, context)
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[name].append(waiter)
         self._wake.set()
         try:
-            retry_after_s = await waiter
+            with link.limit(context.deadline - self._now()):
+                retry_after_s = await waiter
+        except TimeoutError:
+            self._return_granted_token(name, waiter)
+            return self._refuse_without_leader(context)
         except asyncio.CancelledError:
             self._return_granted_token(name, waiter)
             raise
@@ -82,13 +91,18 @@
             return _calls.fail(
                 _E.RATE_EXCEEDED, '', errors.NotRun.TRUE, retry_after_s
             )
-        return result.Success(None)
+        return result.Success(True)
 
     def return_token(self, context):
-        """Return the token of a call that is known not to have run."""
-        holder = self._holders.get(context.client_account)
-        if holder is not None:
-            holder.return_token()
+        """Return the token of a call that is known not to have run.
+
+        Only for a token of the leader, as :meth:`admit` tells.
+        """
+        self._return_token(context.client_account)
+
+    def count_held(self):
+        """Return the tokens that are not used or returned yet."""
+        return sum(holder.held for holder in self._holders.values())
 
     async def run(self):
         """Send debits when calls wait and return tokens, until cancelled."""
@@ -114,6 +128,7 @@
             for name in names
         )
         debits = tuple(debit for debit in debits if debit is not None)
+        self._metrics.release(TOKEN, sum(debit.returned for debit in debits))
         if not debits and self._has_contact:
             return
         reply = await self._leader.ask(quota.DebitRequest(self._name, debits))
@@ -136,6 +151,8 @@
         holder = self._holders[grant.client_account]
         pending = [waiter for waiter in waiters if not waiter.done()]
         tokens = holder.apply_grant(grant, len(pending), self._now())
+        self._metrics.grant(TOKEN, grant.tokens)
+        self._metrics.release(TOKEN, tokens)
         for index, waiter in enumerate(pending):
             is_granted = index < tokens
             waiter.set_result(0.0 if is_granted else grant.retry_after_s)
@@ -144,7 +161,11 @@
         """Admit a call without the leader if a spare token is left."""
         now = self._now()
         if holder.take_spare_token(account.rate, now, self._last_contact_at):
-            return result.Success(None)
+            return result.Success(False)
+        return self._refuse_without_leader(context)
+
+    def _refuse_without_leader(self, context):
+        now = self._now()
         return _calls.fail(
             _E.RATE_UNAVAILABLE,
             'no contact to the control leader',
@@ -160,7 +181,11 @@
         if not waiter.done() or waiter.cancelled():
             return
         if waiter.result() == 0.0:
-            self._holders[name].return_token()
+            self._return_token(name)
+
+    def _return_token(self, name):
+        self._metrics.grant(TOKEN)
+        self._holders[name].return_token()
 
     def _find_holder(self, name):
         holder = self._holders.get(name)
@@ -185,11 +210,13 @@
         self._now = now
         self._term = None
         self._buckets = {}
+        self._document = config.current
 
     async def run(self):
-        """Poll for the start of a leadership, until cancelled."""
+        """Poll for a leadership and for new limits, until cancelled."""
         while True:
             self._leadership.is_confirmed()
+            self._follow_document()
             await asyncio.sleep(LEADER_POLL_INTERVAL_S)
 
     async def handle_debit(self, request, _age_s):
@@ -200,12 +227,28 @@
         if leadership.term != self._term:
             self._term = leadership.term
             self._buckets = {}
+        self._follow_document()
         grants = (self._debit(request.holder, d) for d in request.debits)
         return _rate_messages.DebitReply(
             tuple(grant for grant in grants if grant is not None),
             self._view.replica.replica_id,
         )
 
+    def _follow_document(self):
+        """Set changed limits, also of accounts without calls at present.
+
+        The delay of a lower limit counts from the change.
+        """
+        document = self._config.current
+        if document is self._document:
+            return
+        self._document = document
+        now = self._now()
+        for name, bucket in self._buckets.items():
+            account = document.accounts.get(name)
+            if account is not None and account.rate:
+                bucket.set_limits(account.rate, account.burst, now)
+
     def _debit(self, holder, debit):
         account = self._config.current.accounts.get(debit.client_account)
         if account is None or not account.rate:
@@ -216,7 +259,6 @@
             bucket = self._buckets[account.name] = quota.CentralBucket(
                 account.rate, account.burst, self._leadership.started_at, now
             )
-        bucket.set_limits(account.rate, account.burst, now)
         debited = bucket.debit(holder, debit.wanted, debit.returned, now)
         return quota.AccountGrant(account.name, *debited, bucket.level)
 
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 
 from returns import pipeline
 from returns import result
@@ -95,7 +96,7 @@
         self._log = log
         self._metrics = metrics
         self._now = now
-        self._splits = _splits.SplitChooser()
+        self._splits = _splits.SplitChooser(random.Random())
         self._budgets = {}
         self._placing = _placing.Placing()
 
@@ -106,13 +107,16 @@
         :param caller_service: service of the callers on this host.
         :returns: ``Success(Response)`` or ``Failure(CallError)``.
         """
-        arrived_at = self._now()
+        waited_s = asyncio.get_running_loop().time() - request.read_at
+        arrived_at = self._now() - waited_s
         authorised = self._authorise(request)
         if not pipeline.is_successful(authorised):
             self._record_refusal(request, authorised.failure(), arrived_at)
             return authorised
         route, account_name = authorised.unwrap()
-        call = self._make_call(request, route, account_name, caller_service)
+        call = self._make_call(
+            request, route, account_name, caller_service, arrived_at
+        )
         if not self._stop.takes(self._estimate_end(call)):
             refused = _calls.fail(
                 _E.SHUTTING_DOWN,
@@ -135,7 +139,10 @@
         if isinstance(outcome, result.Failure):
             self._record_refusal(request, outcome.failure(), arrived_at, call)
         else:
-            self._record_response(call, outcome.unwrap(), arrived_at)
+            response = outcome.unwrap()
+            left_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
+            response.ends_at = asyncio.get_running_loop().time() + left_s
+            self._record_response(call, response, arrived_at)
         return outcome
 
     def _authorise(self, request):
@@ -157,7 +164,9 @@
         """Tell whether a document is installed and was recently confirmed."""
         return self._config.version.number > 0 and self._config.is_fresh()
 
-    def _make_call(self, request, route, account_name, caller_service):
+    def _make_call(
+        self, request, route, account_name, caller_service, arrived_at
+    ):
         timeout_ms = route.deadline_ms
         if request.deadline_ms is not None:
             timeout_ms = min(timeout_ms, request.deadline_ms)
@@ -184,7 +193,7 @@
             client_account=account_name,
             service=service,
             priority=priority,
-            deadline=self._now() + timeout_ms / 1000,
+            deadline=arrived_at + timeout_ms / 1000,
             depth=depth,
             idempotent=route.idempotent,
             fingerprint=calls.compute_fingerprint(
@@ -226,13 +235,13 @@
             return admitted
         outcome = await self._try_owners(call, 1 + route.retries)
         is_failure = isinstance(outcome, result.Failure)
-        if is_failure and _attempts.is_not_run(outcome.failure()):
+        is_not_run = is_failure and _attempts.is_not_run(outcome.failure())
+        if is_not_run and admitted.unwrap():
             self._debits.return_token(call.context)
         return outcome
 
     async def _try_owners(self, call, max_runs):
         """Try owners until one responds or the deadline passes."""
-        await self._members.prepare(call.context.service)
         attempt = _attempts.Attempt(call, max_runs)
         attempt.offers_left = self._placing.count_offers(call.context.service)
         timeout_s = call.context.deadline - self._now() + DEADLINE_GRACE_S
@@ -260,6 +269,7 @@
 
     async def _run_attempt(self, attempt):
         call = attempt.call
+        await self._members.prepare(call.context.service)
         outcome = _calls.fail(
             _E.NO_BACKEND_SERVER, 'no member', _TRUE, NO_MEMBER_RETRY_AFTER_S
         )
--- a/libs/consensus/tests/conftest.py
+++ b/libs/consensus/tests/conftest.py
@@ -95,11 +95,7 @@
 
 @attrs.define(eq=False)
 class Host:
-    """A simulated host with one replica; ``node`` is None while down.
-
-    :ivar syncing: outputs of the sync that ends at ``synced_at``.
-    :ivar stalled_until: end of a pause in which the process does nothing.
-    """
+    """A simulated host with one replica; ``node`` is None while down."""
 
     address: str
     disk: FakeDisk
@@ -133,6 +129,7 @@
         self.random = random.Random(seed)
         self.hosts = {}
         self.blocked_links = set()
+        self.suspended = set()
         self.loss_probability = 0.0
         self.max_delay_s = 0.05
         self.sync_probability = 0.7
@@ -170,8 +167,7 @@
         )
         host.store = documents.DocumentStore()
         host.applier = replica.Applier(host.node, host.store, self._limits)
-        host.outputs, host.syncing = [], []
-        host.stalled_until = 0.0
+        host.outputs, host.syncing, host.stalled_until = [], [], 0.0
 
     def crash(self, address):
         host = self.hosts[address]
@@ -286,17 +282,21 @@
             if host is not None and host.node is not None:
                 host.node.receive(envelope, self.now)
                 self._collect(host)
+                # A read may come between a message and the next tick.
+                self._check_confirmation(host)
         for host in self.hosts.values():
             self._step_host(host)
 
     def _is_due(self, item):
-        # The first tick after a stall comes before the messages that waited.
-        host = self.hosts.get(item[2])
-        is_stalled = host is not None and host.stalled_until >= self.now
-        return item[0] <= self.now and not is_stalled
+        return item[0] <= self.now and not self._is_paused(item[2])
+
+    def _is_paused(self, address):
+        host = self.hosts.get(address)
+        is_stalled = host is not None and host.stalled_until > self.now
+        return is_stalled or address in self.suspended
 
     def _step_host(self, host):
-        if host.node is None or host.stalled_until > self.now:
+        if host.node is None or self._is_paused(host.address):
             return
         host.node.tick(self.now)
         self._collect(host)
