Let no hung disk of a candidate hold up an election

With the leader lost and the disk of another voter hanging, the group had no leader for up to 8 s, so hosts would have refused calls with keys (5 s).

Cause: a candidate renewed its pre-votes for 5 s whatever its disk did, and each renewal postponed all others; it also began although its own records had waited for a sync all the while.

Change: the time for which a candidate renews them begins with one election timeout and doubles with each failed election, up to 5 s. A replica whose records wait longer than an election timeout starts no election.

--- a/libs/consensus/src/cactusloft_consensus/_elections.py
+++ b/libs/consensus/src/cactusloft_consensus/_elections.py
@@ -92,6 +92,7 @@
             now >= self._election_due_at
             and self._is_voter()
             and not self._syncs.is_vote_pending
+            and not self._is_disk_hung(now)
         ):
             self._start_pre_vote(now)
 
@@ -136,10 +137,15 @@
     def _continue_election(self, now):
         """Renew the pre-votes, or repeat the requests for votes.
 
-        Ends after two syncs, the one in progress and the one of the vote, so
-        that a failed disk does not hold up the others.
+        Ends after the time that two syncs may take, the one in progress and
+        the one of the vote. The first election expects fast disks, so that
+        one that hangs does not hold up the others for as long.
         """
-        longest_s = 2 * self._timing.max_sync_s
+        longest_s = min(
+            self._timing.max_election_timeout_s
+            * 2 ** (self._failed_elections - 1),
+            2 * self._timing.max_sync_s,
+        )
         if (
             now < self._request_due_at
             or now - self._election_started_at > longest_s
@@ -283,6 +289,11 @@
         if self._is_majority(self._granted_by):
             self._become_leader(now)
 
+    def _is_disk_hung(self, now):
+        """Tell whether a sync takes longer than an election may."""
+        limit_s = self._timing.max_election_timeout_s
+        return self._syncs.measure_wait_s(now) > limit_s
+
     def _is_disk_busy(self, now):
         return self._syncs.is_disk_busy(now, self._timing.max_sync_s)
 
--- a/libs/consensus/src/cactusloft_consensus/_syncs.py
+++ b/libs/consensus/src/cactusloft_consensus/_syncs.py
@@ -1,5 +1,8 @@
 """Which records of one replica are synced."""
 
+# Tells records that were just written from none.
+MIN_WAIT_S = 1e-9
+
 
 class SyncTracker:
     """Follow the records of a node to the end of their sync.
@@ -28,8 +31,13 @@
 
         :param limit_s: seconds after which the disk counts as failed.
         """
-        is_pending = self._synced < self._collected
-        return is_pending and now - self._progress_at <= limit_s
+        return 0.0 < self.measure_wait_s(now) <= limit_s
+
+    def measure_wait_s(self, now):
+        """Return for how long records have waited, 0 if all are synced."""
+        if self._synced == self._collected:
+            return 0.0
+        return max(MIN_WAIT_S, now - self._progress_at)
 
     def add_vote(self):
         """Record that the next output contains a term or a vote."""
--- a/libs/consensus/tests/test_slow_elections.py
+++ b/libs/consensus/tests/test_slow_elections.py
@@ -10,6 +10,8 @@
 ACK_S = 4.0
 # Time after the end of a disruption from which the users' rules hold again.
 CONTACT_S = 3.0
+# Daemons without a confirmation for this long refuse calls with keys.
+FRESHNESS_BOUND_S = 5.0
 # Slowest sync that the design bears, docs/design.md section 5.7.
 SLOWEST_SYNC_S = 2.0
 
@@ -186,3 +188,33 @@
         ),
         RECOVER_S,
     )
+
+
+@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('voters', [5, 11])
+def test_hung_disk_of_a_voter_prolongs_an_election(make_group, voters, seed):
+    """Hosts refuse calls with keys once no leader was confirmed for 5 s."""
+    group = _make_group(make_group, voters, seed)
+    group.run_for(2.0)
+    group.draw_sync_s = lambda: 0.01
+    former = group.find_leader()
+    hung = next(h for h in group.hosts.values() if h is not former)
+    sync_slowly = group._sync_slowly
+
+    def sync(host):
+        if host is hung and host.outputs and not host.syncing:
+            host.syncing, host.outputs = host.outputs, []
+            host.synced_at = float('inf')
+        elif host is not hung:
+            sync_slowly(host)
+
+    group._sync_slowly = sync
+    group.isolate(former.address)
+    term = former.node.term
+    group.run_until(
+        lambda: any(
+            host.node.is_ready and host.node.term > term
+            for host in group.hosts.values()
+        ),
+        limit_s=FRESHNESS_BOUND_S,
+    )
