End a search for a control host without an unread error

What operators saw: a traceback (_GatheringFuture exception was never retrieved) on the standard error of a daemon with each search that found a host while other probes ran. Cause: the future that joined the probes was neither cancelled nor read. Change: the search waits for the probes themselves.

--- a/daemon/src/cactusloftd/_watch_search.py
+++ b/daemon/src/cactusloftd/_watch_search.py
@@ -64,10 +64,7 @@
             hosts = hosts[size:]
             await asyncio.wait({found}, timeout=interval_s)
         if pace is not Pace.SLOW and not found.done():
-            ended = asyncio.gather(*probes)
-            await asyncio.wait(
-                {found, ended}, return_when=asyncio.FIRST_COMPLETED
-            )
+            await _wait_for_probes(found, probes)
     finally:
         for task in probes:
             task.cancel()
@@ -77,6 +74,16 @@
     return found.result()
 
 
+async def _wait_for_probes(found, probes):
+    """Wait until a control host is found or all probes have ended."""
+    pending = {task for task in probes if not task.done()}
+    while pending and not found.done():
+        await asyncio.wait(
+            {found, *pending}, return_when=asyncio.FIRST_COMPLETED
+        )
+        pending = {task for task in pending if not task.done()}
+
+
 def _count_next(probes, pace):
     """Return the number of control hosts to ask next."""
     if pace is Pace.SLOW:
