Stay with a home that is no slower than the others

What callers saw: nothing yet; found by the review. Where all control hosts answered 0.15 s late or more, each daemon changed its home every second poll, registered anew and asked for whole tables, which adds load just when the control hosts are slow.

Cause: lateness was absolute, and any control host that answered a probe counted as better. Change: a late home is left only for one that answered 0.1 s sooner. If none did, its delay counts as usual, up to 0.2 s, and searches ask one control host at a time.

--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -24,6 +24,7 @@
 REFUSED_DELAY_S = 1.0
 _NOT_CONNECTED = 'not connected'
 _NO_RESPONSE = 'no response'
+_LATE = 'its responses are late'
 _V = events.Event
 
 
@@ -77,6 +78,8 @@
         self._until_report = None
         self._search = None
         self._late_replies = 0
+        self._reply_delay_s = self._probe_delay_s = 0.0
+        self._usual_delay_s = 0.0
         self._is_unconfirmed = False
         self._is_relay = _control_hosts.is_control_host(settings)
         self.relays = 0
@@ -170,10 +173,11 @@
             self._known_versions.clear()
             self._watched_name = home.name
             self._late_replies = 0
+            self._usual_delay_s = 0.0
         times = _watch_times.FIRST_POLL
         if is_known:
             times = _watch_times.plan_poll(
-                self._installed.age_s, self._is_relay
+                self._installed.age_s, self._is_relay, self._usual_delay_s
             )
         poll = asyncio.ensure_future(self._ask(home, times, True))
         try:
@@ -184,6 +188,7 @@
             if poll.cancelled():
                 # A new report is due. A search goes on.
                 return
+            self._reply_delay_s = self._now() - begun_at - times.hold_time_s
             fault = await self._finish_poll(home, poll.result())
             if fault:
                 self._start_search(is_urgent=False)
@@ -201,7 +206,7 @@
         self._is_unconfirmed = False
         self._late_replies = self._late_replies + 1 if self._search else 0
         if self._late_replies >= _watch_times.MAX_LATE_REPLIES:
-            return 'its responses are late'
+            return _LATE
         reply = answer.reply
         has_group = reply.group in (None, self.group)
         has_tables = all(
@@ -243,7 +248,8 @@
         pace = _watch_search.Pace.SPARING
         if is_urgent:
             pace = _watch_search.Pace.URGENT
-        if self._is_unconfirmed:
+        # Where the others are no faster, they get few probes.
+        if self._is_unconfirmed or self._usual_delay_s:
             pace = _watch_search.Pace.SLOW
         found = await _watch_search.find_confirming(
             self._rotation, self._probe, pace
@@ -258,8 +264,10 @@
 
         A probe carries no reports: a daemon registers with its home only.
         """
+        begun_at = self._now()
         try:
             answer = await self._ask(host, _watch_times.FIRST_POLL, False)
+            self._probe_delay_s = self._now() - begun_at
             return not answer.fault and self._apply_answer(host, answer)
         except Exception as error:
             _internal_errors.record_error(self._log, error)
@@ -268,6 +276,11 @@
     async def _leave(self, home, fault, begun_at, found):
         """Choose another home, unless no other one is better."""
         is_silent = fault in (_NOT_CONNECTED, _NO_RESPONSE)
+        gain_s = self._reply_delay_s - self._probe_delay_s
+        if fault == _LATE and gain_s < _watch_times.REPLY_DELAY_S:
+            # The other one is as slow.
+            self._usual_delay_s = self._reply_delay_s
+            return
         if found is not None or is_silent:
             self._rotation.advance()
             self._log.record(
--- a/daemon/src/cactusloftd/_watch_times.py
+++ b/daemon/src/cactusloftd/_watch_times.py
@@ -28,8 +28,12 @@
 # A reply is late this much after the hold time at the earliest.
 REPLY_DELAY_S = 0.1
 FIRST_REPLY_DELAY_S = 0.2
-# A home whose replies are late this often in a row is left. One late reply is
-# no reason, because all daemons that registered there would move together.
+# Replies that are usually this much later count as in time: where all control
+# hosts are slow, asking others only adds to their load.
+MAX_USUAL_DELAY_S = 0.2
+# A home whose replies are late this often in a row is left for one that is
+# faster. One late reply is no reason, because all daemons that registered
+# there would move together.
 MAX_LATE_REPLIES = 2
 
 
@@ -50,15 +54,18 @@
 FIRST_POLL = PollTimes(0.0, FIRST_REPLY_TIMEOUT_S, FIRST_REPLY_DELAY_S)
 
 
-def plan_poll(age_s, is_relay):
+def plan_poll(age_s, is_relay, usual_delay_s=0.0):
     """Return the :class:`PollTimes` of a poll of the home.
 
     :param age_s: age of this daemon's confirmation, infinite without one.
+    :param usual_delay_s: how long after the hold time a reply came that was
+        late and that no other control host was faster than.
     """
     hold_time_s = RELAY_HOLD_TIME_S if is_relay else HOLD_TIME_S
     search_delay_s = hold_time_s + FIRST_REPLY_DELAY_S
     if not math.isinf(age_s):
         # With the age of a sound home, this is the whole hold time.
         hold_time_s = max(0.0, min(hold_time_s, REPLY_DUE_AGE_S - age_s))
-        search_delay_s = max(SEARCH_AGE_S - age_s, hold_time_s + REPLY_DELAY_S)
+        delay_s = REPLY_DELAY_S + min(usual_delay_s, MAX_USUAL_DELAY_S)
+        search_delay_s = max(SEARCH_AGE_S - age_s, hold_time_s + delay_s)
     return PollTimes(hold_time_s, hold_time_s + REPLY_MARGIN_S, search_delay_s)
--- a/daemon/tests/watch/test_homes.py
+++ b/daemon/tests/watch/test_homes.py
@@ -1,11 +1,13 @@
 """Tests of what a search for another home costs, and when the home moves."""
 
 import asyncio
+import gc
 import itertools
 
 import pytest
 
 from cactusloft_model import document
+from cactusloftd import _watch_search
 
 from . import fleets
 
@@ -155,3 +157,49 @@
     lagging = fleets.run_simulated(run())
     assert len(lagging) > 1 and ((), True) in lagging
     assert all(names == () for names, _ in lagging)
+
+
+@pytest.mark.parametrize('delay_s', [0.15, 0.5])
+def test_equally_slow_control_hosts_exchange_their_daemons(delay_s):
+    """Where no other control host is faster, a move only adds to the load."""
+
+    async def run():
+        fleet = fleets.Fleet(5, 0, fleets.NEVER)
+        fleet.watcher.attach('marks', lambda: b'report', lambda _: None)
+        for host in fleet.hosts:
+            host.delay_s = delay_s
+        await _watch_until(fleet, 62.0)
+        return [any(w.tables for _, w in host.watches) for host in fleet.hosts]
+
+    assert sum(fleets.run_simulated(run())) == 1
+
+
+def test_ended_search_leaves_an_unread_error():
+    """A search that has ended must not write tracebacks for its probes."""
+    errors = []
+
+    class Rotation:
+        def list_backups(self):
+            return ['slow', 'found']
+
+        def put_last(self, host):
+            pass
+
+        put_next = put_last
+
+    async def probe(host):
+        await asyncio.sleep(0.4 if host == 'found' else 0.5)
+        return host == 'found'
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        found = await _watch_search.find_confirming(
+            Rotation(), probe, _watch_search.Pace.URGENT
+        )
+        await asyncio.sleep(0.2)
+        gc.collect()
+        return found
+
+    assert fleets.run_simulated(run()) == 'found'
+    assert errors == []
