Send differences only to daemons with a settled table

What callers saw: nothing yet; found by the review. A daemon that kept members of a service while its control host settled, and used that service again later, could keep one that had left until the next full table. Cause: the difference was made against a table that did not list what the daemon had kept. Change: a difference follows a complete, settled table only.

Evidence: test_member_of_an_unused_service_outlives_its_departure fails before.

--- a/daemon/src/cactusloftd/_registrations.py
+++ b/daemon/src/cactusloftd/_registrations.py
@@ -33,7 +33,8 @@
 class _SentTable:
     """A table that was sent to a daemon.
 
-    :ivar is_complete: whether it had all services that the daemon used.
+    :ivar is_complete: whether it had all services that the daemon used, and
+        the daemon kept nothing beside it.
     """
 
     version: int
@@ -110,13 +111,11 @@
             for member in self._registry.list_members(services, now)
         }
         sent = self._sent.get(daemon, _NOTHING_SENT)
-        is_complete = services == report.services
+        is_complete = is_settled and services == report.services
         is_difference = (
             bool(request.known)
             and sent.version == request.known
-            and (
-                sent.services == services or (sent.is_complete and is_complete)
-            )
+            and (sent.is_complete and is_complete)
         )
         changed, removed = members.values(), ()
         if is_difference:
--- a/daemon/tests/test_registrations.py
+++ b/daemon/tests/test_registrations.py
@@ -197,3 +197,25 @@
         assert set(home.list_known()) == {'d1', 'd3'}
 
     run(check)
+
+
+def test_member_of_an_unused_service_outlives_its_departure():
+    """Members kept while the home settles must not stay for good."""
+
+    def check(home):
+        home.services = ('stock',)
+        home.store(make_member('old'))
+        home.exchange()
+        known = home._known
+        home.restart_server()
+        home._known = known
+        home.services = ('track',)
+        home.exchange()
+        home.settle()
+        home.exchange()
+        home.services = ('stock', 'track')
+        home.store(make_member('new'))
+        home.exchange()
+        assert set(home.list_known()) == {'new'}
+
+    run(check)
