Count the wait for an installation from the acceptance

What operators saw: nothing yet; found by the review. Each resend of an accepted change waited anew for daemons that lag, 0.6 s with a silent control host. An operator that gives up each attempt after a second could go without an answer.

Change: the wait of 0.5 s counts from the first acceptance, its messages included.

Evidence: test_resent_change_waits_again fails before.

--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -67,7 +67,12 @@
         self._rollout = None
         if self._control is not None:
             self._rollout = _rollout.Rollout(
-                settings.name, node, versions, self._control.replica, log
+                settings.name,
+                node,
+                versions,
+                self._control.replica,
+                log,
+                now,
             )
             self._control.wait_until_installed = (
                 self._rollout.wait_until_installed
--- a/daemon/src/cactusloftd/_rollout.py
+++ b/daemon/src/cactusloftd/_rollout.py
@@ -75,14 +75,18 @@
     :param versions: :class:`InstalledVersions` of this control host.
     :param replica: local control replica, which knows the control hosts.
     :param log: :class:`events.EventLog`.
+    :param now: function that returns monotonic seconds.
     """
 
-    def __init__(self, name, node, versions, replica, log):
+    def __init__(self, name, node, versions, replica, log, now):
         self._name = name
         self._node = node
         self._versions = versions
         self._replica = replica
         self._log = log
+        self._now = now
+        # The last version that was waited for, and the end of that wait.
+        self._version, self._wait_until = 0, 0.0
 
     def start(self):
         """Answer the queries of other control hosts."""
@@ -91,10 +95,20 @@
         )
 
     async def wait_until_installed(self, version):
-        """Wait for an accepted version, at most ``MAX_WAIT_S``."""
-        query = _rollout_messages.RolloutQuery(version, int(MAX_WAIT_S * 1000))
+        """Wait for an accepted version, at most ``MAX_WAIT_S``.
+
+        A resent change does not wait anew: its operator may give up each
+        attempt before the end of the wait.
+        """
+        if version > self._version:
+            self._version = version
+            self._wait_until = self._now() + MAX_WAIT_S
+        wait_s = self._wait_until - self._now() - REPLY_MARGIN_S
+        if version < self._version or wait_s <= 0.0:
+            return
+        query = _rollout_messages.RolloutQuery(version, int(wait_s * 1000))
         lagging = await asyncio.gather(
-            self._versions.wait_until_installed(version, MAX_WAIT_S),
+            self._versions.wait_until_installed(version, wait_s),
             *(self._ask(address, query) for address in self._list_others()),
         )
         names = sorted({name for names in lagging for name in names})
@@ -119,7 +133,8 @@
         A control host that does not answer counts as lagging itself.
         """
         peer = self._node.connect(address.peer)
-        reply = await peer.request(query, MAX_WAIT_S + REPLY_MARGIN_S)
+        timeout_s = query.wait_ms / 1000 + REPLY_MARGIN_S
+        reply = await peer.request(query, timeout_s)
         silent = _rollout_messages.RolloutReply((address.daemon,))
         return reply.value_or(silent).lagging
 
--- a/daemon/src/cactusloftd/_rollout_messages.py
+++ b/daemon/src/cactusloftd/_rollout_messages.py
@@ -19,7 +19,7 @@
     """Reply to :class:`RolloutQuery`.
 
     :ivar lagging: daemons that watch the control host and have not reported
-        the version, and the control host itself if it lags.
+        the version.
     """
 
     lagging: tuple[str, ...]
--- a/daemon/tests/test_rollout.py
+++ b/daemon/tests/test_rollout.py
@@ -99,6 +99,7 @@
             versions,
             types.SimpleNamespace(members=members),
             log,
+            lambda: 100.0,
         )
         await rollout.wait_until_installed(8)
 
@@ -106,3 +107,31 @@
     ((event, fields),) = records
     assert event is events.Event.ROLLOUT_INCOMPLETE
     assert fields == {'version': 8, 'count': 2, 'daemons': 'c3,slow'}
+
+
+def test_resent_change_waits_again():
+    """An operator that gives up each attempt would never get an answer."""
+    now, queries = 100.0, []
+
+    class Peer:
+        async def request(self, query, _timeout_s):
+            queries.append(query)
+            return result.Failure('no reply')
+
+    async def run():
+        nonlocal now
+        member = messages.Member('id-2', 'c2 10.0.0.2:7000 -', True)
+        rollout = _rollout.Rollout(
+            'c1',
+            types.SimpleNamespace(connect=lambda _address: Peer()),
+            _rollout.InstalledVersions(lambda: now),
+            types.SimpleNamespace(members=(member,)),
+            types.SimpleNamespace(record=lambda event, **fields: None),
+            lambda: now,
+        )
+        await rollout.wait_until_installed(8)
+        now += _rollout.MAX_WAIT_S
+        await rollout.wait_until_installed(8)
+
+    asyncio.run(run())
+    assert len(queries) == 1
