Bound what all clients of a resident make it hold

Cause: an unfinished head was decoded line by line, 150 bytes and more for each line of three bytes; bodies were held in parts and joined; each listener had a budget of its own; pipelined requests were parsed ahead of their turn; the time of a stalled sender began anew with each byte.

Change: one budget of memory and one limit on connections for a process, from the memory and descriptors of the machine. A head stays unparsed until it is complete, requests are parsed one at a time, a body is held once, owners charge what other daemons send. The senders with the least progress make room for others; refusals are 408, 413, 431 or 503 and true.

The test of one limit for all bodies takes its limit from the settings now instead of a patched constant.

--- a/daemon/src/cactusloftd/_metrics.py
+++ b/daemon/src/cactusloftd/_metrics.py
@@ -157,6 +157,30 @@
         'requests a second that the backend server accepts, absent if it '
         'names no limit',
     ),
+    Definition(
+        'cactusloft_client_connections',
+        _G,
+        (),
+        'open connections of clients at all listeners',
+    ),
+    Definition(
+        'cactusloft_client_memory_bytes',
+        _G,
+        (),
+        'memory that requests of clients and other daemons hold',
+    ),
+    Definition(
+        'cactusloft_client_memory_refusals',
+        _G,
+        (),
+        'times that there was no memory for a request since the start',
+    ),
+    Definition(
+        'cactusloft_clients_dropped',
+        _G,
+        (),
+        'connections closed to make room for others since the start',
+    ),
     Definition(
         'cactusloft_holds_granted_total',
         _C,
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -16,6 +16,7 @@
 # A new connection takes a few round trips for the key exchange.
 CONNECT_TIMEOUT_S = 0.3
 OWNER_LOST = 'owner was lost'
+NO_MEMORY = 'owner has no memory for the request'
 # The receiver computes the deadline by its own clock.
 _CONTEXT_FIELDS = tuple(
     name for name in attrs.fields_dict(calls.CallContext) if name != 'deadline'
@@ -79,14 +80,45 @@
 
     :param owner: the local :class:`_calls.Runner`.
     :param now: function that returns monotonic seconds.
+    :param budget: :class:`memory.MemoryBudget` of the process, None for no
+        limit.
     """
 
-    def __init__(self, owner, now):
+    def __init__(self, owner, now, budget=None):
         self._owner = owner
         self._now = now
+        self._budget = budget
 
     async def serve(self, stream, frame):
         """Serve one call; the stream handler of ``CallStart``."""
+        if self._budget is None:
+            await self._serve(stream, frame)
+            return
+        start = frame.message
+        hold = self._budget.make_hold()
+        has_room = hold.add_head(len(start.headers), 0)
+        try:
+            if has_room and hold.grow(start.body_bytes):
+                await self._serve(stream, frame)
+            else:
+                await self._refuse_for_memory(stream, frame)
+        finally:
+            hold.release()
+
+    async def _refuse_for_memory(self, stream, frame):
+        """Refuse a call without holding its body.
+
+        The entry reads the refusal once it has sent the body.
+        """
+        size = len(frame.payload)
+        while size < frame.message.body_bytes:
+            size += len((await stream.receive()).payload)
+        error = errors.CallError(_E.OVERLOADED, NO_MEMORY)
+        load = self._owner.load
+        await stream.send(_make_refusal(error, 0.0, load))
+        stream.finish()
+
+    async def _serve(self, stream, frame):
         start = frame.message
         body = await _receive_request_body(stream, frame)
         # Time that the message spent in queues counts towards the deadline.
@@ -111,11 +143,13 @@
 
 async def _receive_request_body(stream, first_frame):
     """Return the whole body of a request, in time linear in its size."""
-    parts, size = [first_frame.payload], len(first_frame.payload)
-    while size < first_frame.message.body_bytes:
-        parts.append((await stream.receive()).payload)
-        size += len(parts[-1])
-    return b''.join(parts)
+    body_bytes = first_frame.message.body_bytes
+    if len(first_frame.payload) >= body_bytes:
+        return first_frame.payload
+    body = bytearray(first_frame.payload)
+    while len(body) < body_bytes:
+        body += (await stream.receive()).payload
+    return body
 
 
 def _is_final(message):
--- a/daemon/src/cactusloftd/resident/__init__.py
+++ b/daemon/src/cactusloftd/resident/__init__.py
@@ -6,8 +6,14 @@
 :mod:`cactusloftd.resident.protocol`.
 """
 
+from cactusloft_admission.memory import make_limits as make_client_limits
 from cactusloftd.resident._settings import ControlHost
 from cactusloftd.resident._settings import make_settings
 from cactusloftd.resident._settings import SettingsError
 
-__all__ = ['ControlHost', 'SettingsError', 'make_settings']
+__all__ = [
+    'ControlHost',
+    'SettingsError',
+    'make_client_limits',
+    'make_settings',
+]
--- a/daemon/src/cactusloftd/resident/_delivery.py
+++ b/daemon/src/cactusloftd/resident/_delivery.py
@@ -107,7 +107,7 @@
         sent_at = self._now()
         remaining_ms = context.remaining_ms(sent_at)
         head = self._protocol.write_head(call, self._instance, remaining_ms)
-        connection.send(context.call_id, call.method, head + call.body)
+        connection.send(context.call_id, call.method, head, call.body)
         try:
             with link.limit(remaining_ms / 1000 + DEADLINE_GRACE_S):
                 response = await connection.receive_whole()
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -18,6 +18,7 @@
 from cactusloft_retry import budgets
 from cactusloftd import _access
 from cactusloftd import _calls
+from cactusloftd import _peers
 from cactusloftd.resident import _attempts
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _owner
@@ -55,6 +56,7 @@
     _owner.NO_SLOT,
     _owner.NO_FREE_SLOT,
     _delivery.UNREACHABLE,
+    _peers.NO_MEMORY,
 )
 
 
--- a/daemon/src/cactusloftd/resident/_exchange.py
+++ b/daemon/src/cactusloftd/resident/_exchange.py
@@ -18,6 +18,8 @@
 MAX_BUFFERED_BYTES = 64 * 1024
 # Reading from the socket is paused above this size, until all is read.
 MAX_UNREAD_BYTES = 64 * 1024
+# Request bodies up to this size are sent in one piece with the head.
+MAX_JOINED_BYTES = 64 * 1024
 # Size of the parts in which a body is read.
 CHUNK_BYTES = 16 * 1024
 # Attempt ids that a connection remembers.
@@ -124,12 +126,13 @@
         """
         return attempt_id in self._declined_ids or attempt_id in self._used_ids
 
-    def send(self, attempt_id, method, content):
+    def send(self, attempt_id, method, head, body=b''):
         """Send a request; its response is read by :meth:`receive_head`.
 
         :param attempt_id: id that the response must echo.
         :param method: HTTP method; a response to HEAD has no body.
-        :param content: bytes of the whole request.
+        :param head: request line and headers as bytes.
+        :param body: bytes-like; a large one is not copied.
         """
         self._attempt_id = attempt_id
         self._used_ids.append(attempt_id)
@@ -140,7 +143,10 @@
         self._skipped_bytes = self._skipped_responses = 0
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
-        self._transport.write(content)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.writelines((head, body))
 
     async def receive_head(self):
         """Wait for the head of the response and return the response.
--- a/daemon/src/cactusloftd/resident/_http_connection.py
+++ b/daemon/src/cactusloftd/resident/_http_connection.py
@@ -10,30 +10,31 @@
 import http
 
 import attrs
-import httptools
 
+from cactusloft_admission import memory
 import cactusloft_link as link
 from cactusloftd import _calls
-from cactusloftd.resident import _http_messages
-
-MAX_HEAD_BYTES = 64 * 1024
-MAX_BODY_BYTES = 64 * 1024 * 1024
-# Bytes beside the body (head, chunk sizes, trailers) of one request, in
-# addition to ``MAX_OVERHEAD_RATIO`` times the bytes of the body.
-MAX_OVERHEAD_BYTES = 128 * 1024
-MAX_OVERHEAD_RATIO = 16
-# Pipelined requests of one connection that are handled at the same time, and
-# that wait to be handled. They bound the responses that wait for their turn.
+from cactusloftd.resident import _http_reader
+
+# Pipelined requests of one connection that are handled at the same time. They
+# bound the responses that wait for their turn.
 MAX_CONCURRENT_REQUESTS = 4
-MAX_QUEUED_REQUESTS = 8
+# Bytes of further requests of a connection, above which reading is paused.
+MAX_WAITING_BYTES = 64 * 1024
 # Longer than the operators allow clients to keep an idle connection.
 IDLE_TIMEOUT_S = 75.0
-# Limits how long a slow or stalled sender occupies a connection.
-RECEIVE_TIMEOUT_S = 20.0
 # Bytes of a response that wait for a client that reads slowly. The responses
 # of hundreds of such clients have to fit into the memory.
 MAX_UNSENT_BYTES = 16 * 1024
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# A client that was refused for lack of memory comes back after this time.
+NO_MEMORY_HEADERS = (('Retry-After', '1'),)
+# A client that was refused may still be sending. Its bytes are discarded for
+# some time, since a close with unread bytes would also discard the refusal.
+LINGER_S = 1.0
+MAX_LINGER_BYTES = 512 * 1024
+# Statuses of the refusals that promise that the request has not run.
+TIMEOUT_STATUS, NO_MEMORY_STATUS = 408, 503
 _BODILESS = (204, 304)
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
@@ -42,12 +43,11 @@
 class _Exchange:
     """A request that is being handled.
 
-    :ivar keeps_alive: whether the client keeps the connection open after it.
+    :ivar received: :class:`_http_reader.ReceivedRequest`.
     :ivar turn: set when all earlier responses are written.
     """
 
-    request: _http_messages.Request
-    keeps_alive: bool
+    received: _http_reader.ReceivedRequest
     turn: link.Wakeup = attrs.Factory(link.Wakeup)
     task: link.ImmediateTask | None = None
 
@@ -59,16 +59,18 @@
         self._listener = listener
         self._loop = asyncio.get_running_loop()
         self._transport = None
-        self._parser = httptools.HttpRequestParser(self)
-        # Requests that wait to be handled, and those that are being handled.
-        self._queue = collections.deque()
+        self._reader = _http_reader.RequestReader(
+            listener.clients.budget, self._loop.time, self._send_continue
+        )
         self._running = collections.deque()
         self._is_closing = False
+        self._is_parsing = False
+        self._is_starting = False
+        self._is_reading_paused = False
+        # Bytes discarded since a refusal, None before.
+        self._lingering_bytes = None
         self._writable = None
-        self._active_at = self._loop.time()
-        self._is_receiving = False
-        self._held_bytes = 0
-        self._begin_message()
+        self.progress = memory.Progress(self._loop.time())
 
     def connection_made(self, transport):
         """Store the transport; called by the event loop."""
@@ -81,11 +83,11 @@
         """Cancel the request in progress; called by the event loop."""
         self._listener.discard(self)
         self._is_closing = True
-        self._hold(-self._held_bytes)
-        self._queue.clear()
+        self._reader.release()
         for exchange in self._running:
             if exchange.task is not None:
                 exchange.task.cancel()
+            exchange.received.hold.release()
         self.resume_writing()
 
     def pause_writing(self):
@@ -100,30 +102,30 @@
         self._writable = None
 
     def data_received(self, data):
-        """Parse received data; called by the event loop."""
+        """Keep received data and start requests; called by the event loop."""
         if self._is_closing:
+            self._discard(data)
             return
-        self._active_at = self._loop.time()
-        self._is_receiving = True
-        self._overhead_bytes += len(data)
+        self.progress.receive(len(data), self._loop.time())
+        self._is_parsing = True
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Handled as an ordinary request; later data is not HTTP.
-            self._is_closing = True
-        except httptools.HttpParserError as error:
-            self._refuse(400, type(error).__name__)
-        limit = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes
-        if self._overhead_bytes > limit:
-            self._refuse(431, 'head too large')
-        self._start_queued()
+            if self._reader.feed(data):
+                self._start_requests()
+            else:
+                self._refuse(NO_MEMORY_STATUS, 'no memory for the request')
+        finally:
+            self._is_parsing = False
 
     def expire(self, now):
         """Close the connection if its idle or receive timeout has passed."""
         if self._running:
             return
-        limit_s = RECEIVE_TIMEOUT_S if self._is_receiving else IDLE_TIMEOUT_S
-        if now - self._active_at > limit_s:
+        if self.progress.is_late(now, self._reader.body_bytes):
+            self._refuse(TIMEOUT_STATUS, 'request not complete in time')
+        elif (
+            not self.progress.is_receiving
+            and now - self.progress.began_at > IDLE_TIMEOUT_S
+        ):
             self.close()
 
     @property
@@ -131,145 +133,157 @@
         """Tell whether requests are handled or responses are being sent."""
         return bool(self._running or self._transport.get_write_buffer_size())
 
+    @property
+    def may_be_dropped(self):
+        """Tell whether nothing of a request was passed on or answered."""
+        return not (self._is_parsing or self._is_starting or self.is_busy)
+
+    def drop(self):
+        """Make room for other clients; see :attr:`may_be_dropped`."""
+        if self.progress.is_receiving:
+            self._refuse(TIMEOUT_STATUS, 'dropped for other clients')
+        self.close()
+
     def close_when_idle(self):
         """Close after the responses to the requests that are handled now."""
         if self._running:
-            self._is_closing = True
-            self._queue.clear()
+            self._stop_reading()
         else:
             self.close()
 
     def close(self):
         """Close the connection once all written data is sent."""
-        self._is_closing = True
+        self._stop_reading()
         self._transport.close()
 
-    # Callbacks of the parser.
-
-    def on_url(self, data):
-        """Append to the request target."""
-        self._target += data
-        self._add_head_bytes(len(data))
-
-    def on_header(self, name, value):
-        """Store one header."""
-        self._add_head_bytes(len(name) + len(value))
-        self._headers.append((name.decode('latin-1'), value.decode('latin-1')))
-
-    def on_headers_complete(self):
-        """Send 100 Continue to a client that expects it."""
-        for name, value in self._headers:
-            if name.lower() == 'expect' and value.lower() == '100-continue':
-                self._transport.write(CONTINUE_RESPONSE)
-
-    def on_body(self, data):
-        """Append to the body."""
-        self._overhead_bytes -= len(data)
-        self._body_bytes += len(data)
-        if self._is_closing:
-            return
-        if self._body_bytes > MAX_BODY_BYTES:
-            self._refuse(413, 'body too large')
-        elif not self._hold(len(data)):
-            self._refuse(503, 'too many bodies at the same time')
-        else:
-            self._body_parts.append(data)
-
-    def on_message_complete(self):
-        """Queue the request."""
-        if self._is_closing:
-            return
-        self._is_receiving = False
-        request = _http_messages.Request(
-            self._parser.get_method().decode(),
-            _read_target(self._target),
-            _http_messages.HeaderFields(self._headers),
-            b''.join(self._body_parts),
-            self._loop.time(),
-        )
-        self._queue.append(
-            _Exchange(request, self._parser.should_keep_alive())
-        )
-        self._begin_message()
-        if len(self._queue) > MAX_QUEUED_REQUESTS:
-            self._transport.pause_reading()
+    def _stop_reading(self):
+        """Handle no further requests; those not begun count as not read."""
+        self._is_closing = True
+        self._reader.release()
 
-    def _begin_message(self):
-        self._target = b''
-        self._headers = []
-        self._body_parts = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._overhead_bytes = 0
+    def _discard(self, data):
+        """Discard what a client sends after its refusal, within a limit."""
+        if self._lingering_bytes is not None:
+            self._lingering_bytes += len(data)
+            if self._lingering_bytes > MAX_LINGER_BYTES:
+                self._transport.abort()
 
-    def _hold(self, size):
-        self._held_bytes += size
-        return self._listener.hold(size)
+    def _linger(self):
+        """Close once the client had time to read the refusal."""
+        self._lingering_bytes = 0
+        self._transport.write_eof()
+        self._loop.call_later(LINGER_S, self._transport.close)
 
-    def _add_head_bytes(self, size):
-        self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self._refuse(431, 'head too large')
+    def _send_continue(self):
+        self._transport.write(CONTINUE_RESPONSE)
 
     def _refuse(self, status, detail):
         """Respond to a request that cannot be handled, and close."""
         if self._is_closing:
             return
         self._listener.log_malformed_request(detail)
-        self._is_closing = True
-        if not self._running and not self._queue:
+        self._stop_reading()
+        if not self._running:
             # The client would take it for the response to an earlier request
             # if one were still in progress.
-            self._transport.write(_write_head(status, (), 0, True))
-            self._transport.close()
+            headers = NO_MEMORY_HEADERS if status == NO_MEMORY_STATUS else ()
+            self._transport.write(_write_head(status, headers, 0, True))
+            self._linger()
 
-    def _start_queued(self):
-        """Handle queued requests as far as the limit allows."""
-        while self._queue and len(self._running) < MAX_CONCURRENT_REQUESTS:
-            exchange = self._queue.popleft()
-            if len(self._queue) == MAX_QUEUED_REQUESTS:
-                self._transport.resume_reading()
-            self._running.append(exchange)
-            if len(self._running) == 1:
-                exchange.turn.set()
-            exchange.task = link.ImmediateTask(
-                self._serve(exchange), self._abort
-            )
+    def _start_requests(self):
+        """Handle received requests as far as the limit allows.
+
+        Other connections have their turn after that many requests, also where
+        all of them are answered at once.
+        """
+        if self._is_starting or self._is_closing:
+            return
+        self._is_starting = True
+        try:
+            for _ in range(MAX_CONCURRENT_REQUESTS - len(self._running)):
+                received = self._read_request()
+                if received is None:
+                    break
+                self._start_request(received)
+            else:
+                if len(self._running) < MAX_CONCURRENT_REQUESTS:
+                    self._loop.call_soon(self._start_requests)
+        finally:
+            self._is_starting = False
+        self._pause_or_resume_reading()
+
+    def _start_request(self, received):
+        exchange = _Exchange(received)
+        self._running.append(exchange)
+        if len(self._running) == 1:
+            exchange.turn.set()
+        exchange.task = link.ImmediateTask(self._serve(exchange), self._abort)
+
+    def _read_request(self):
+        """Return the next whole request, or None."""
+        if self._is_closing:
+            return None
+        try:
+            received = self._reader.read()
+        except _http_reader.MalformedRequestError as error:
+            self._refuse(error.status, error.detail)
+            return None
+        if received is not None:
+            self._restart_progress()
+        if self._reader.is_upgraded:
+            self._stop_reading()
+        return received
+
+    def _restart_progress(self):
+        """Measure the progress of the request behind the last one."""
+        now = self._loop.time()
+        self.progress.finish(now)
+        if self._reader.is_receiving:
+            self.progress.receive(self._reader.unread_bytes, now)
+
+    def _pause_or_resume_reading(self):
+        is_full = (
+            len(self._running) >= MAX_CONCURRENT_REQUESTS
+            and self._reader.unread_bytes > MAX_WAITING_BYTES
+        )
+        if is_full == self._is_reading_paused or self._is_closing:
+            return
+        self._is_reading_paused = is_full
+        if is_full:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     async def _serve(self, exchange):
-        http_response = await self._listener.handle(exchange.request)
+        received = exchange.received
+        http_response = await self._listener.handle(received.request)
         try:
             await exchange.turn
         except asyncio.CancelledError:
             await _close_response(http_response)
             raise
-        is_last = http_response.is_last or not exchange.keeps_alive
+        is_last = http_response.is_last or not received.keeps_alive
         if is_last and len(self._running) > 1:
             # The responses to the requests behind it are still written, since
-            # these may have run. What is queued counts as not read.
-            self._is_closing = True
-            self._queue.clear()
+            # these may have run. Later ones count as not read.
+            self._stop_reading()
             is_last = False
         is_last = is_last or (self._is_closing and len(self._running) == 1)
-        await self._write(exchange.request, http_response, is_last)
+        await self._write(received.request, http_response, is_last)
         self._finish(is_last)
 
     def _finish(self, is_last):
         """Let the next response be written, or close the connection."""
-        finished = self._running.popleft()
-        self._hold(-min(len(finished.request.body), self._held_bytes))
-        self._active_at = self._loop.time()
+        self._running.popleft().received.hold.release()
+        self._restart_progress()
         if is_last:
-            self._is_closing = True
-            self._queue.clear()
+            self._stop_reading()
         if self._running:
             self._running[0].turn.set()
-        elif not self._is_closing:
-            self._start_queued()
-        elif not self._queue:
+        if not self._is_closing:
+            self._start_requests()
+        elif not self._running:
             self._transport.close()
-        else:
-            self._start_queued()
 
     def _abort(self, error):
         """Abort the connection after an error.
@@ -369,16 +383,3 @@
         lines.append('Connection: close')
     text = '\r\n'.join(lines) + '\r\n\r\n'
     return text.encode('latin-1')
-
-
-def _read_target(raw):
-    """Return path and query of a request target, also in absolute form.
-
-    >>> _read_target(b'/a%20b?c'), _read_target(b'http://x.example/a?b')
-    ('/a%20b?c', '/a?b')
-    """
-    target = raw.decode('latin-1')
-    if target.startswith('/'):
-        return target
-    _, separator, rest = target.partition('://')
-    return '/' + rest.partition('/')[2] if separator else target
--- a/daemon/src/cactusloftd/resident/_http_listener.py
+++ b/daemon/src/cactusloftd/resident/_http_listener.py
@@ -7,16 +7,13 @@
 
 import asyncio
 
+from cactusloft_admission import memory
 from cactusloft_model import events
 from cactusloftd import _internal_errors
 from cactusloftd import _jobs
+from cactusloftd.resident import _clients
 from cactusloftd.resident import _http_connection
 
-# Bounds memory: an idle connection costs a few KiB.
-MAX_CONNECTIONS = 3000
-# Bodies of all requests that are being received or handled. The memory of the
-# smallest hosts is 200 MB.
-MAX_HELD_BYTES = 64 * 1024 * 1024
 EXPIRY_INTERVAL_S = 5.0
 BACKLOG = 1024
 # Lets the event loop send responses that were written before a close.
@@ -34,16 +31,18 @@
     :param handle: coroutine function that takes a
         :class:`_http_messages.Request` and returns an ``HttpResponse``.
     :param log: :class:`events.EventLog`.
+    :param clients: :class:`_clients.Clients` of the process; by default the
+        listener has a budget of its own.
     :ivar port: TCP port, 0 until started.
     """
 
-    def __init__(self, handle, log):
+    def __init__(self, handle, log, clients=None):
         self.handle = handle
         self._log = log
         self._server = None
         self._expiry_task = None
         self._connections = set()
-        self._held_bytes = 0
+        self.clients = clients or _clients.make_clients(memory.make_limits())
         self.port = 0
 
     async def start(self, endpoint):
@@ -86,7 +85,7 @@
 
     def add(self, connection):
         """Register a connection; tell whether the limit allows it."""
-        if len(self._connections) >= MAX_CONNECTIONS:
+        if not self.clients.add(connection):
             self.log_malformed_request('too many connections')
             return False
         self._connections.add(connection)
@@ -94,16 +93,9 @@
 
     def discard(self, connection):
         """Remove a closed connection."""
+        self.clients.discard(connection)
         self._connections.discard(connection)
 
-    def hold(self, size):
-        """Account for bytes of a body; tell whether the limit allows them.
-
-        :param size: bytes, negative when they are released.
-        """
-        self._held_bytes += size
-        return self._held_bytes <= MAX_HELD_BYTES
-
     def log_malformed_request(self, detail):
         """Log a request that cannot be handled."""
         self._log.record(_V.REQUEST_MALFORMED, detail=detail)
--- /dev/null
+++ b/daemon/src/cactusloftd/resident/_http_reader.py
@@ -0,0 +1,298 @@
+"""Requests in the bytes that a client sends, one at a time.
+
+The bytes of a head are kept as they are until the head is complete, since
+decoded header lines take many times the memory of their bytes. Requests behind
+it are not looked at until the caller asks for the next one.
+"""
+
+import collections
+import re
+
+import attrs
+import httptools
+
+from cactusloft_admission import memory
+from cactusloftd.resident import _http_messages
+
+MAX_HEAD_BYTES = 64 * 1024
+MAX_BODY_BYTES = 64 * 1024 * 1024
+# Bytes beside the body (chunk sizes, trailers) of one request, in addition to
+# ``MAX_OVERHEAD_RATIO`` times the bytes of the body.
+MAX_OVERHEAD_BYTES = 128 * 1024
+MAX_OVERHEAD_RATIO = 16
+# Bytes of a chunked body that are parsed at a time. What follows the body in
+# them is parsed too.
+PIECE_BYTES = 16 * 1024
+# Times of arrival that are kept for bytes that are not parsed yet.
+MAX_KEPT_ARRIVALS = 64
+# Line ends before a request line.
+MAX_EMPTY_BYTES = 64
+# A body up to this size is copied to have the exact size.
+SMALL_BODY_BYTES = 64 * 1024
+_HEAD_END = re.compile(rb'\n\r?\n')
+_HEAD_END_BYTES = 3
+
+
+@attrs.frozen
+class MalformedRequestError(Exception):
+    """The bytes are no request that may be handled.
+
+    :ivar status: HTTP status that tells the client so.
+    :ivar detail: for the log, without data of the client.
+    """
+
+    status: int
+    detail: str
+
+
+@attrs.frozen
+class ReceivedRequest:
+    """A whole request.
+
+    :ivar keeps_alive: whether the client keeps the connection open after it.
+    :ivar hold: :class:`memory.Hold` of what it takes.
+    """
+
+    request: _http_messages.Request
+    keeps_alive: bool
+    hold: memory.Hold
+
+
+class RequestReader:
+    """Parser of the requests on one connection.
+
+    :param budget: :class:`memory.MemoryBudget`.
+    :param read_time: function that returns the time of the event loop in
+        seconds.
+    :param on_continue: function called when the client waits for permission
+        to send a body.
+    :ivar is_upgraded: whether bytes follow that are not HTTP.
+    """
+
+    def __init__(self, budget, read_time, on_continue):
+        self._budget = budget
+        self._read_time = read_time
+        self._on_continue = on_continue
+        self._parser = httptools.HttpRequestParser(self)
+        self._unread = bytearray()
+        self._unread_hold = budget.make_hold()
+        self._parsed_bytes = 0
+        # End, in bytes since the first one, and time of each arrival.
+        self._arrivals = collections.deque()
+        self._finished = collections.deque()
+        self.is_upgraded = False
+        self._begin_request()
+
+    @property
+    def unread_bytes(self):
+        """Return the bytes that are not parsed yet."""
+        return len(self._unread)
+
+    @property
+    def body_bytes(self):
+        """Return the bytes of the body that has not ended yet."""
+        return len(self._body)
+
+    @property
+    def is_receiving(self):
+        """Tell whether a request has begun and is not complete."""
+        return bool(self._unread) or self._has_begun
+
+    def feed(self, data):
+        """Keep received bytes if there is memory for them; tell whether."""
+        if not self._unread_hold.grow(len(data)):
+            return False
+        self._unread += data
+        if len(self._arrivals) == MAX_KEPT_ARRIVALS:
+            self._arrivals.pop()
+        end = self._parsed_bytes + len(self._unread)
+        self._arrivals.append((end, self._read_time()))
+        return True
+
+    def read(self):
+        """Return the next :class:`ReceivedRequest`, None without a whole one.
+
+        :raises MalformedRequestError: when it must not be handled.
+        """
+        while not self._finished:
+            has_progress = (
+                self._read_body() if self._has_head else self._read_head()
+            )
+            if not has_progress:
+                return None
+        return self._finished.popleft()
+
+    def release(self):
+        """Forget all bytes and give their memory back."""
+        self._unread = bytearray()
+        self._unread_hold.release()
+        self._hold.release()
+        self._body = bytearray()
+        self._headers = []
+        while self._finished:
+            self._finished.popleft().hold.release()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self):
+        """Record that a request has begun."""
+        self._has_begun = True
+
+    def on_url(self, data):
+        """Append to the request target."""
+        self._target += data
+        self._add_head_bytes(len(data))
+
+    def on_header(self, name, value):
+        """Store one header line; those behind a body are ignored."""
+        if self._has_head:
+            return
+        self._add_head_bytes(len(name) + len(value))
+        self._headers.append((name.decode('latin-1'), value.decode('latin-1')))
+
+    def on_headers_complete(self):
+        """Find out how the end of the body is told."""
+        self._has_head = True
+        fields = self._fields = _http_messages.HeaderFields(self._headers)
+        length = fields.get('content-length')
+        if length.isdecimal() and len(length) < 20:
+            self._left_bytes = int(length)
+            if self._left_bytes > MAX_BODY_BYTES:
+                raise MalformedRequestError(413, 'body too large')
+        if fields.get('expect').lower() == '100-continue':
+            self._on_continue()
+
+    def on_body(self, data):
+        """Append to the body."""
+        self._overhead_bytes -= len(data)
+        if len(self._body) + len(data) > MAX_BODY_BYTES:
+            raise MalformedRequestError(413, 'body too large')
+        if not self._hold.grow(len(data)):
+            raise MalformedRequestError(503, 'no memory for the body')
+        self._body += data
+
+    def on_message_complete(self):
+        """Queue the request for the next call of :meth:`read`."""
+        body = self._body
+        if len(body) <= SMALL_BODY_BYTES:
+            body = bytes(body)
+        request = _http_messages.Request(
+            self._parser.get_method().decode(),
+            _read_target(self._target),
+            self._fields,
+            body,
+            self._find_arrival(),
+        )
+        self._finished.append(
+            ReceivedRequest(
+                request, self._parser.should_keep_alive(), self._hold
+            )
+        )
+        self._begin_request()
+
+    def _find_arrival(self):
+        """Return the time at which the last parsed byte arrived."""
+        arrivals = self._arrivals
+        while len(arrivals) > 1 and arrivals[0][0] < self._parsed_bytes:
+            arrivals.popleft()
+        return arrivals[0][1]
+
+    def _begin_request(self):
+        self._target = b''
+        self._headers = []
+        self._fields = None
+        self._body = bytearray()
+        self._hold = self._budget.make_hold()
+        self._has_begun = self._has_head = False
+        # Bytes of the body that are still to come, None if they are chunked.
+        self._left_bytes = None
+        self._head_bytes = self._empty_bytes = self._overhead_bytes = 0
+        self._searched_bytes = 0
+
+    def _read_head(self):
+        """Parse a head that is complete; tell whether there was one."""
+        self._skip_empty_lines()
+        unread = self._unread
+        found = _HEAD_END.search(unread, self._searched_bytes)
+        size = found.end() if found else len(unread)
+        if self._head_bytes + size > MAX_HEAD_BYTES:
+            raise MalformedRequestError(431, 'head too large')
+        if found is None:
+            self._searched_bytes = max(0, len(unread) - _HEAD_END_BYTES)
+            return False
+        lines = unread.count(b'\n', 0, size)
+        if not self._hold.add_head(lines, size):
+            raise MalformedRequestError(503, 'no memory for the head')
+        self._searched_bytes = 0
+        self._parse(self._take_unread(size))
+        return True
+
+    def _skip_empty_lines(self):
+        """Drop line ends before the request line."""
+        unread = self._unread
+        if self._has_begun or not unread or unread[0] not in b'\r\n':
+            return
+        rest = unread.lstrip(b'\r\n')
+        skipped = len(unread) - len(rest)
+        self._empty_bytes += skipped
+        if self._empty_bytes > MAX_EMPTY_BYTES:
+            raise MalformedRequestError(400, 'empty lines')
+        self._take_unread(skipped)
+
+    def _read_body(self):
+        """Parse what has arrived of a body; tell whether there was any."""
+        size = min(len(self._unread), PIECE_BYTES)
+        if self._left_bytes is not None:
+            size = min(len(self._unread), self._left_bytes)
+            self._left_bytes -= size
+        if not size:
+            return False
+        self._overhead_bytes += size
+        self._parse(self._take_unread(size))
+        limit = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * len(self._body)
+        if self._overhead_bytes > limit:
+            raise MalformedRequestError(431, 'chunks too small')
+        return True
+
+    def _take_unread(self, size):
+        """Remove and return the first bytes that are not parsed yet."""
+        data = bytes(self._unread[:size])
+        # Clearing also frees what the array has allocated beyond its size.
+        if size == len(self._unread):
+            self._unread.clear()
+        else:
+            del self._unread[:size]
+        self._unread_hold.shrink(size)
+        self._parsed_bytes += size
+        return data
+
+    def _parse(self, data):
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Handled as an ordinary request; later bytes are not HTTP.
+            self.is_upgraded = True
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, MalformedRequestError):
+                raise error.__context__ from None
+            raise
+        except httptools.HttpParserError as error:
+            raise MalformedRequestError(400, type(error).__name__) from None
+
+    def _add_head_bytes(self, size):
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise MalformedRequestError(431, 'head too large')
+
+
+def _read_target(raw):
+    """Return path and query of a request target, also in absolute form.
+
+    >>> _read_target(b'/a%20b?c'), _read_target(b'http://x.example/a?b')
+    ('/a%20b?c', '/a?b')
+    """
+    target = raw.decode('latin-1')
+    if target.startswith('/'):
+        return target
+    _, separator, rest = target.partition('://')
+    return '/' + rest.partition('/')[2] if separator else target
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from cactusloft_admission import memory
 import cactusloft_link as link
 from cactusloft_membership import choice
 from cactusloft_membership import exchange
@@ -33,6 +34,7 @@
 from cactusloftd import _metrics
 from cactusloftd import _peers
 from cactusloftd import _registrations
+from cactusloftd.resident import _clients
 from cactusloftd.resident import _debits
 from cactusloftd.resident import _entry
 from cactusloftd.resident import _group_entry
@@ -61,11 +63,13 @@
         without one.
     :ivar service: service of the callers on this host.
     :ivar is_founder: whether it creates the control group at its first start.
+    :ivar client_limits: :class:`memory.ClientLimits` of the process.
     """
 
     backend_server: str
     service: str
     is_founder: bool
+    client_limits: memory.ClientLimits = memory.make_limits()
 
 
 class Resident:
@@ -78,6 +82,7 @@
     :ivar log: :class:`_line_log.LineLog`.
     :ivar metrics: :class:`_metrics.Metrics`.
     :ivar exchanges: :class:`_exchanges.Exchanges`, requests in progress.
+    :ivar clients: :class:`_clients.Clients` at all listeners.
     """
 
     def __init__(self, settings, host_context, backend_protocol, reader):
@@ -110,6 +115,7 @@
             settings, self._node, self.log, self._now, self._members, reader
         )
         self.exchanges = _exchanges.Exchanges()
+        self.clients = _clients.make_clients(host_context.client_limits)
         self._registration_changed = asyncio.Event()
         self._stop = _stopping.Stop(settings.shutdown_grace_s, self._now)
         self._reported_serving = False
@@ -376,7 +382,7 @@
             (_mark_relay.TABLE, self._marks),
         ):
             plane.watcher.attach(name, user.make_report, user.apply_table)
-        server = _peers.CallServer(self._owner, self._now)
+        server = _peers.CallServer(self._owner, self._now, self.clients.budget)
         self._node.handle_streams(_messages.CallStart, server.serve)
         handle = self._node.handle_requests
         handle(_messages.PermitRequest, self._marks.handle_permit_request)
@@ -433,6 +439,16 @@
         observe = self.metrics.observe_number
         installed = self._plane.installed
         observe('cactusloft_open_exchanges', lambda: self.exchanges.count)
+        clients = self.clients
+        observe('cactusloft_client_connections', lambda: clients.count)
+        observe(
+            'cactusloft_client_memory_bytes', lambda: clients.budget.held_bytes
+        )
+        observe(
+            'cactusloft_client_memory_refusals',
+            lambda: clients.budget.refused,
+        )
+        observe('cactusloft_clients_dropped', lambda: clients.dropped)
         observe(
             'cactusloft_document_version', lambda: installed.version.number
         )
--- a/daemon/tests/resident/test_http_listener.py
+++ b/daemon/tests/resident/test_http_listener.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from cactusloft_admission import memory
 from cactusloftd import _calls
+from cactusloftd.resident import _clients
 from cactusloftd.resident import _http_connection
 from cactusloftd.resident import _http_listener
 from cactusloftd.resident import _http_messages
@@ -46,10 +48,10 @@
         return _http_messages.HttpResponse(200, (), request.target.encode())
 
 
-async def open_listener(handler):
+async def open_listener(handler, clients=None):
     """Return a listener, its log, and an open connection."""
     log = Log()
-    listener = _http_listener.HttpListener(handler, log)
+    listener = _http_listener.HttpListener(handler, log, clients)
     await listener.start('127.0.0.1:0')
     reader, writer = await asyncio.open_connection('127.0.0.1', listener.port)
     return listener, log, reader, writer
@@ -373,18 +375,19 @@
     assert not handler.requests
 
 
-def test_bodies_of_all_clients_have_one_limit(monkeypatch):
+def test_bodies_of_all_clients_have_one_limit():
     """Many half-read bodies together must stay within the host's memory.
 
     The refusal says that the request has not run, which is true: none of it
     was passed on.
     """
-    monkeypatch.setattr(_http_listener, 'MAX_HELD_BYTES', 100_000)
+    limits = memory.ClientLimits(memory_bytes=100_000, connections=10)
     head = b'POST /%d HTTP/1.1\r\nContent-Length: 60000\r\n\r\n'
     handler = Handler()
 
     async def run():
-        listener, _, _, first = await open_listener(handler)
+        clients = _clients.make_clients(limits)
+        listener, _, _, first = await open_listener(handler, clients)
         first.write(head % 1 + b'x' * 59_000)
         await asyncio.sleep(0.05)
         reader, second = await asyncio.open_connection(
--- a/daemon/tests/resident/test_malformed_bytes.py
+++ b/daemon/tests/resident/test_malformed_bytes.py
@@ -90,6 +90,9 @@
 
     resume_reading = pause_reading
 
+    def write_eof(self):
+        """Do nothing; the test goes on sending."""
+
     def set_write_buffer_limits(self, high):
         """Do nothing; nothing is buffered."""
 
