Give outage tokens once in a window

A host behind a lossy link loses and regains its contact to the leader several times a second, and got the tokens of an outage each time, while the leader went on granting the rate. Test first: it got tokens after each contact.

--- a/libs/quota/src/cactusloft_quota/_debits.py
+++ b/libs/quota/src/cactusloft_quota/_debits.py
@@ -190,11 +190,11 @@
         self._spare_tokens = 0.0
         self._max_spare_tokens = 0.0
         self._spare_refilled_at = now
-        # Contacts after which the share and the outage tokens were rounded,
-        # and the outage tokens that are left.
+        # Contact after which the share was rounded.
         self._share_rounded_since = None
-        self._outage_tokens_since = None
+        # Outage tokens that are left, and when they were given.
         self._outage_tokens = 0
+        self._outage_tokens_at = float('-inf')
 
     @property
     def held(self):
@@ -289,6 +289,9 @@
     def take_outage_token(self, limits, holders, now, contact_at, draw):
         """Take a token of an account that was not short at the last contact.
 
+        Tokens are given once in a window of the operators, however often the
+        contact is lost and regained in it.
+
         A holder that knows its share uses that share first, and here only
         what the operators tolerate beyond rate and burst.
 
@@ -301,8 +304,8 @@
         """
         if now - contact_at > FALLBACK_S:
             return False
-        if self._outage_tokens_since != contact_at:
-            self._outage_tokens_since = contact_at
+        if now - self._outage_tokens_at >= _outage.WINDOW_S:
+            self._outage_tokens_at = now
             share = 0.0 if self.has_share(contact_at) else FALLBACK_SHARE
             tokens = _outage.compute_outage_tokens(
                 *limits, holders, FALLBACK_S, share
--- a/libs/quota/tests/test_outage.py
+++ b/libs/quota/tests/test_outage.py
@@ -123,10 +123,20 @@
 
 
 def test_outage_tokens_are_given_once():
-    """The calls of one outage share them, however many there are."""
+    """The calls of a window share them, also where packets are lost.
+
+    A host that loses and regains its contact several times a second must not
+    get them each time.
+    """
     holder = quota.DebitHolder(0.0)
     taken = [
-        holder.take_outage_token((3.0, 3.0), HOSTS, 0.1, 0.0, draw)
-        for draw in (0.0, 0.0, 0.0)
+        holder.take_outage_token((3.0, 3.0), HOSTS, now, contact_at, 0.0)
+        for now, contact_at in (
+            (0.1, 0.0),
+            (0.2, 0.0),
+            (0.5, 0.4),
+            (4.9, 4.8),
+            (5.2, 5.1),
+        )
     ]
-    assert taken == [True, False, False]
+    assert taken == [True, False, False, False, True]
