Let requests wait for the first document and leader of a process

Their one return came too early, or found no tokens: the first call of an account is refused when no leader is known yet.

Change: in the first 4 s of a process without a confirmed document, a request waits for it, at most 1.5 s and 0.3 of its time; a call waits as long for its first contact with the leader. Links between daemons are tried again after 0.2 s at most instead of 1 s: candidates waited for links to replicas that had started a little later than they had.

Result: with the wait set to 0, the two tests of waiting fail.

--- a/daemon/src/cactusloftd/_installed.py
+++ b/daemon/src/cactusloftd/_installed.py
@@ -52,6 +52,7 @@
     :param keeps_versions: whether to keep recent versions, as control hosts
         do to answer watches with differences.
 
+    :ivar on_install: function called when a version was installed.
     :ivar confirmed_at: monotonic seconds at which the document was last known
         to be current, or None.
     """
@@ -67,6 +68,7 @@
         self._max_kept = MAX_KEPT_VERSIONS if keeps_versions else 0
         self._was_fresh = False
         self._refused_version = NO_VERSION
+        self.on_install = lambda: None
 
     def is_fresh(self):
         """Tell whether keyed routes may be served."""
@@ -121,6 +123,8 @@
         if is_new:
             self._log_installed(confirmed_at, previous, source)
         self.is_fresh()
+        if is_new:
+            self.on_install()
         return is_new
 
     def _install(self, version, parsed):
--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -18,6 +18,7 @@
 from cactusloftd import _leader_link
 from cactusloftd import _rate_messages
 from cactusloftd.resident import _returning
+from cactusloftd.resident import _starting
 
 REQUEST_TIMEOUTS = _leader_link.LeaderTimeouts(connect_s=0.1, reply_s=0.2)
 RETRY_DELAY_S = 0.05
@@ -58,6 +59,7 @@
         self._has_contact = True
         self._last_contact_at = float('-inf')
         self._random = random.Random()
+        self._starting = _starting.Starting(now)
         # Of the last contact.
         self._holder_count = 0
         self._short_accounts = ()
@@ -78,13 +80,13 @@
         if holder.take(self._now()):
             self._metrics.release(TOKEN)
             return result.Success(True)
-        if not self._has_contact:
+        if not self._has_contact and not self._is_starting():
             return self._admit_without_leader(account, holder, context)
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[name].append(waiter)
         self._wake.set()
         try:
-            with link.limit(context.deadline - self._now()):
+            with link.limit(self._compute_wait(context)):
                 retry_after_s = await waiter
         except TimeoutError:
             self._return_granted_token(name, waiter)
@@ -145,7 +147,10 @@
             'granted' if self._has_contact else 'unanswered',
         )
         if not self._has_contact:
-            _resolve_without_grant(waiting)
+            if self._is_starting():
+                self._keep_waiting(waiting)
+            else:
+                _resolve_without_grant(waiting)
             await asyncio.sleep(RETRY_DELAY_S)
             return
         self._last_contact_at = self._now()
@@ -157,6 +162,25 @@
         # The leader does not know these accounts yet.
         _resolve_without_grant(waiting)
 
+    def _is_starting(self):
+        """Tell whether the process has just started and heard no leader."""
+        is_known = self._last_contact_at != float('-inf')
+        return not is_known and self._starting.compute_wait(1.0) > 0
+
+    def _compute_wait(self, context):
+        """Return how long a call may wait for a token, in seconds."""
+        remaining_s = context.deadline - self._now()
+        if self._is_starting():
+            return self._starting.compute_wait(remaining_s)
+        return remaining_s
+
+    def _keep_waiting(self, waiting):
+        """Ask again for tokens that no leader granted or refused."""
+        for name, waiters in waiting.items():
+            pending = (waiter for waiter in waiters if not waiter.done())
+            self._waiters[name].extendleft(reversed(list(pending)))
+        self._wake.set()
+
     def _apply_grant(self, grant, waiters):
         holder = self._holders[grant.client_account]
         pending = [waiter for waiter in waiters if not waiter.done()]
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -25,6 +25,7 @@
 from cactusloftd.resident import _placing
 from cactusloftd.resident import _returning
 from cactusloftd.resident import _splits
+from cactusloftd.resident import _starting
 from cactusloftd.resident import _stopping
 
 # Owners tried for one call. More would add load when every owner is full.
@@ -46,6 +47,8 @@
 # After the deadline, the owner's own timeout error may still be in transit.
 DEADLINE_GRACE_S = 0.2
 NO_MEMBER_RETRY_AFTER_S = 0.2
+# For requests that name no deadline, until their route is known.
+DEFAULT_DEADLINE_MS = 1000
 _E = errors.ErrorKind
 _V = events.Event
 _TRUE = errors.NotRun.TRUE
@@ -73,6 +76,7 @@
     :param log: :class:`events.EventLog`.
     :param metrics: :class:`_metrics.Metrics`.
     :param now: function that returns monotonic time in seconds.
+    :ivar starting: :class:`_starting.Starting` of this process.
     """
 
     def __init__(
@@ -101,6 +105,7 @@
         self._splits = _splits.SplitChooser(random.Random())
         self._budgets = {}
         self._placing = _placing.Placing()
+        self.starting = _starting.Starting(now)
 
     async def serve(self, request, caller_service):
         """Handle one request.
@@ -111,6 +116,9 @@
         """
         waited_s = asyncio.get_running_loop().time() - request.read_at
         arrived_at = self._now() - waited_s
+        if not self.starting.is_over and not self._has_confirmed_document():
+            deadline_ms = request.deadline_ms or DEFAULT_DEADLINE_MS
+            await self.starting.wait(deadline_ms / 1000 - waited_s)
         authorised = self._authorise(request)
         if not pipeline.is_successful(authorised):
             self._record_refusal(request, authorised.failure(), arrived_at)
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -374,6 +374,7 @@
             self.metrics,
             self._now,
         )
+        plane.installed.on_install = self._entry.starting.finish
         members.on_report_due = self._registration_changed.set
         members.on_departure = self._owner.handle_departure
         members.find_home = plane.watcher.find_home
--- a/libs/link/src/cactusloft_link/_plain.py
+++ b/libs/link/src/cactusloft_link/_plain.py
@@ -16,7 +16,9 @@
 # Frames to a peer that does not read are rejected above this buffer size.
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 INITIAL_BACKOFF_S = 0.05
-MAX_BACKOFF_S = 1.0
+# After a power failure, processes start listening within a second of each
+# other, and elections wait for their links.
+MAX_BACKOFF_S = 0.2
 CONNECT_TIMEOUT_S = 1.0
 # After a power failure, all hosts may connect at the same moment.
 MAX_PENDING_CONNECTIONS = 512
