Share room by work and prefer callers that come back

Cause: owners counted calls ahead, not their work, and counted the queue of one account against all others. Accounts with a class of their own put look-ups and orders into one rank. A caller that came back after a refusal met the queue of newcomers again.

Change: where backend servers report how long work takes, owners order calls inside a class by route, evict by queued work, let a call wait if the work that fair shares put before it leaves time, and tell when there will be room. Entries remember refused calls and mark those that come back; Retry-After follows the queued work. Off elsewhere.

--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -27,6 +27,8 @@
     :ivar is_repeat: whether the call or one of its parents was sent before.
     :ivar rank: rank of the call tree, above 0 and at most 1.
     :ivar needs_free_slot: whether to refuse the call unless it can start now.
+    :ivar urgency: order inside the priority class, 0 if it has none.
+    :ivar is_return: whether the root call came back after a refusal.
     """
 
     call_id: str
@@ -51,6 +53,8 @@
     is_repeat: bool = False
     rank: float = 1.0
     needs_free_slot: bool = False
+    urgency: int = 0
+    is_return: bool = False
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -184,6 +184,8 @@
         is_repeat=context.is_repeat,
         rank=context.rank,
         needs_free_slot=call.needs_free_slot,
+        urgency=context.urgency,
+        is_return=context.is_return,
     )
 
 
--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -32,6 +32,8 @@
     :ivar is_offer: whether the owner is only asked for a free slot.
     :ivar is_in_flight: whether an owner is processing the call now.
     :ivar owner: name of the owner that was tried last.
+    :ivar room_in_s: least seconds until a call like it would start at an owner
+        that refused it, None if no owner said so.
     :ivar failed_outcome: outcome with the first error response of a backend
         server, returned to the client if no retry succeeds.
     """
@@ -48,6 +50,7 @@
     is_in_flight: bool = False
     is_offer: bool = False
     owner: str = ''
+    room_in_s: float | None = None
     failed_outcome: object = None
 
     @property
@@ -83,6 +86,8 @@
             error = outcome.failure()
             if error.detail == _owner.NO_FREE_SLOT:
                 self.full_owners.append((runner.load or 1.0, name, runner))
+            if error.detail in _owner.NO_ROOM_DETAILS:
+                self._record_room(error.retry_after_s)
             if is_not_run(error) and not is_declined(error):
                 return
             if is_declined(error):
@@ -90,6 +95,12 @@
         self.sends += 1
         self.reached.add(name)
 
+    def _record_room(self, room_in_s):
+        if room_in_s is None:
+            return
+        if self.room_in_s is None or room_in_s < self.room_in_s:
+            self.room_in_s = room_in_s
+
     async def close_failed_outcome(self):
         """Release what the first error response holds, if there is one."""
         if self.failed_outcome is not None:
@@ -120,7 +131,10 @@
             # Clients retry a request that is not idempotent only if the
             # response declares that it has not run.
             error = errors.CallError(_E.NO_BACKEND_SERVER, error.detail)
-        if is_not_run(error) and error.retry_after_s is None:
+        # What an owner names is its own queue; the callers are spread here.
+        has_time = error.retry_after_s is not None
+        has_time = has_time and error.detail not in _owner.NO_ROOM_DETAILS
+        if is_not_run(error) and not has_time:
             error = attrs.evolve(error, retry_after_s=retry_after_s)
         return result.Failure(error)
 
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -23,6 +23,7 @@
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _owner
 from cactusloftd.resident import _placing
+from cactusloftd.resident import _refused_calls
 from cactusloftd.resident import _returning
 from cactusloftd.resident import _splits
 from cactusloftd.resident import _stopping
@@ -101,6 +102,7 @@
         self._splits = _splits.SplitChooser(random.Random())
         self._budgets = {}
         self._placing = _placing.Placing()
+        self._refused_calls = _refused_calls.RefusedCalls()
 
     async def serve(self, request, caller_service):
         """Handle one request.
@@ -139,6 +141,7 @@
             call.context.service,
         )
         if isinstance(outcome, result.Failure):
+            self._remember_refused_call(call, outcome.failure(), arrived_at)
             self._record_refusal(request, outcome.failure(), arrived_at, call)
         else:
             response = outcome.unwrap()
@@ -177,12 +180,27 @@
         account = self._config.current.accounts.get(account_name)
         if account is not None and account.priority is not None:
             priority = account.priority
+        fingerprint = calls.compute_fingerprint(
+            account_name, '', request.method, request.target, request.body
+        )
+        timeout_s = timeout_ms / 1000
+        patience_s = (route.target_latency_ms or timeout_ms) / 1000
+        urgency, is_return = 0, False
+        if self._owner.shares_room:
+            urgency = route.priority
+            first_at = self._refused_calls.take(fingerprint, arrived_at)
+            is_return = first_at is not None
+            if is_return:
+                patience_s = _refused_calls.compute_patience(
+                    patience_s, timeout_s, arrived_at - first_at
+                )
         parent = None
         if not account_name and request.parent_id:
             parent = self._owner.find_running(request.parent_id)
         if parent is not None:
             priority, depth = parent.priority, parent.depth + 1
             is_repeat, rank = parent.is_repeat, parent.rank
+            urgency, is_return = parent.urgency, parent.is_return
         else:
             rank = calls.compute_rank(
                 request.root_id, priority, route.idempotent
@@ -195,14 +213,14 @@
             client_account=account_name,
             service=service,
             priority=priority,
-            deadline=arrived_at + timeout_ms / 1000,
+            deadline=arrived_at + timeout_s,
             depth=depth,
             idempotent=route.idempotent,
-            fingerprint=calls.compute_fingerprint(
-                account_name, '', request.method, request.target, request.body
-            ),
+            fingerprint=fingerprint,
             is_repeat=is_repeat,
             rank=rank,
+            urgency=urgency,
+            is_return=is_return,
         )
         return _calls.Call(
             context,
@@ -213,9 +231,27 @@
             route.name,
             host=request.host,
             caller_service=caller_service,
-            patience_s=(route.target_latency_ms or timeout_ms) / 1000,
+            patience_s=patience_s,
         )
 
+    def _remember_refused_call(self, call, error, arrived_at):
+        """Remember a call whose caller is told to come back."""
+        context = call.context
+        if not self._owner.shares_room or context.parent_call_id:
+            return
+        retry_after_s = error.response.retry_after_s
+        # Callers come back once.
+        if context.is_return or retry_after_s is None:
+            return
+        if _attempts.is_not_run(error):
+            self._refused_calls.remember(
+                context.fingerprint,
+                arrived_at,
+                retry_after_s,
+                context.deadline,
+                self._now(),
+            )
+
     def _estimate_end(self, call):
         """Return the monotonic time by which the call will have ended.
 
@@ -263,6 +299,8 @@
             context.call_id,
             context.deadline - self._now(),
             self._placing.find_full_share(context.service),
+            attempt.room_in_s,
+            (context.priority + context.urgency) / 2,
         )
         final_outcome = attempt.settle(outcome, retry_after_s)
         if final_outcome is not attempt.failed_outcome:
@@ -376,6 +414,8 @@
             attempt.may_have_run |= not is_not_run
             if context.deadline - self._now() < MIN_RETRY_TIME_S:
                 return False
+            if error.detail == _owner.NO_TIME:
+                return False
             if is_not_run and error.kind in _NOT_SENT_KINDS:
                 return True
             if is_not_run and error.detail in _NOT_SENT_DETAILS:
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -14,6 +14,7 @@
 
 from cactusloft_admission import controller
 from cactusloft_admission import pressure
+from cactusloft_admission import waiting
 from cactusloft_membership import registry
 from cactusloft_model import calls
 from cactusloft_model import errors
@@ -24,6 +25,7 @@
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _runs
 from cactusloftd.resident import _service_times
+from cactusloftd.resident import _sharing
 
 # Maximum time in the queue as a fraction of the call's patience, which is its
 # target latency or else its timeout. A call that is refused later has delayed
@@ -41,6 +43,9 @@
 NS_PER_MS = 10**6
 NO_SLOT = 'no slot in time'
 NO_FREE_SLOT = 'no free slot'
+# No other owner can run the call in time either.
+NO_TIME = 'no time left'
+NO_ROOM_DETAILS = (NO_SLOT, NO_TIME)
 # Resources in the metrics.
 SLOT, QUEUE_PLACE = 'slot', 'queue_place'
 _E = errors.ErrorKind
@@ -98,6 +103,7 @@
         self._probe_task = None
         self._loss_id = ''
         self._times = _service_times.ServiceTimes()
+        self._sharing = _sharing.Sharing()
         self._running = {}
         self._is_stopping = False
         self.on_change = lambda: None
@@ -164,6 +170,11 @@
         load = self.held / max(1.0, slots)
         return load if self._gate.has_capacity else max(1.0, load)
 
+    @property
+    def shares_room(self):
+        """Tell whether calls share the room by their work."""
+        return self._sharing.is_on
+
     @property
     def admission(self):
         """Return the :class:`controller.Admission`, None at first."""
@@ -277,7 +288,13 @@
         if call.needs_free_slot and not gate.has_capacity:
             return _calls.fail(_E.OVERLOADED, NO_FREE_SLOT)
         ticket = self._make_ticket(call, arrived_at)
-        if self._would_start_late(ticket):
+        if self._sharing.is_on:
+            if not gate.has_capacity:
+                wait = self._plan_wait(call, ticket)
+                if wait.choice is not waiting.Choice.WAIT:
+                    return self._refuse(call, ticket, _G.EVICTED)
+                ticket.start_by = arrived_at + wait.max_wait_s
+        elif self._would_start_late(ticket):
             return self._refuse(call, ticket, _G.EVICTED)
         verdict = await gate.enter(ticket)
         if verdict is not _G.STARTED:
@@ -318,6 +335,9 @@
         max_wait_s = DEFAULT_MAX_QUEUE_S
         if call.patience_s:
             max_wait_s = MAX_QUEUE_FRACTION * call.patience_s
+        cost_s = 0.0
+        if self._sharing.is_on:
+            cost_s = _sharing.estimate_cost(self._times, call.route)
         return controller.Ticket(
             call_id=context.call_id,
             client_account=context.client_account,
@@ -328,6 +348,18 @@
             nested=not context.client_account,
             kind=call.route,
             rank=context.rank,
+            urgency=context.urgency,
+            is_return=context.is_return,
+            cost_s=cost_s,
+        )
+
+    def _plan_wait(self, call, ticket):
+        return _sharing.plan_wait(
+            call,
+            ticket,
+            self._gate.admission,
+            self._state.heartbeat.slots,
+            self._now(),
         )
 
     def _would_start_late(self, ticket):
@@ -343,6 +375,12 @@
 
     def _refuse(self, call, ticket, verdict):
         admission = self._gate.admission
+        detail, room_in_s = NO_SLOT, None
+        if self._sharing.is_on:
+            wait = self._plan_wait(call, ticket)
+            room_in_s = round(wait.room_in_s, 3)
+            if wait.choice is waiting.Choice.ANSWER:
+                detail = NO_TIME
         self._log.record(
             _V.CALL_SHED,
             call_id=call.context.call_id,
@@ -354,8 +392,9 @@
             limit=admission.compute_limit(),
             rate_limit=admission.rate_limit,
             service_ms=round(self._times.mean_s * 1000),
+            room_in_s=room_in_s,
         )
-        return _calls.fail(_E.OVERLOADED, NO_SLOT)
+        return _calls.fail(_E.OVERLOADED, detail, retry_after_s=room_in_s)
 
     async def _deliver(self, run):
         call = run.call
@@ -477,6 +516,7 @@
         run.gate.leave(run.ticket, run.outcome)
 
     def _handle_metadata(self, gate, metadata, sent_at):
+        self._sharing.observe(metadata.load)
         known = gate.admission.rate_limit
         gate.receive_response(metadata.rate_limit, sent_at)
         if gate is not self._gate:
--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -152,6 +152,7 @@
     service = 'other'
     is_serving = True
     admission = None
+    shares_room = False
 
     def __init__(self):
         self.running = {}
--- a/daemon/tests/resident/test_owner.py
+++ b/daemon/tests/resident/test_owner.py
@@ -290,3 +290,55 @@
     others, is_leaving = asyncio.run(run())
     assert others == [registry.BackendProcess('here', 'i-2', 200)]
     assert is_leaving
+
+
+def make_sharing_owner(bench):
+    """Let the backend server report its slowness; it has one slot."""
+    bench.owner._sharing.is_on = True
+    for sequence in (2, 3):
+        bench.owner.handle_heartbeat(
+            attrs.evolve(bench.heartbeat, sequence=sequence, slots=1)
+        )
+
+
+def test_refusal_tells_when_there_will_be_room():
+    """Without it, callers come back while the queue is still there.
+
+    Replays calls of 0.8 s in one slot, each with a patience of 1.5 s: one
+    runs, one waits behind it and the next ones could not end in time.
+    one waits behind it and the next ones could not end in time.
+    """
+
+    async def run():
+        async with Bench() as bench:
+            make_sharing_owner(bench)
+            bench.owner._times.record('', 0.8)
+            tasks = [
+                asyncio.create_task(bench.run(f'a{i}', patience_s=1.5))
+                for i in range(4)
+            ]
+            await asyncio.wait_for(
+                bench.backend_server.started.wait(), TIMEOUT_S
+            )
+            refused = await bench.run('a9', patience_s=1.5)
+            bench.backend_server.release.set()
+            await asyncio.gather(*tasks)
+            return refused.failure()
+
+    error = asyncio.run(run())
+    assert error.detail in _owner.NO_ROOM_DETAILS
+    assert error.effective_not_run is errors.NotRun.TRUE
+    assert error.retry_after_s >= 0.8
+
+
+def test_owner_shares_room_once_slowness_is_reported():
+    """Deployments whose backend servers report none are served as before."""
+
+    async def run():
+        async with Bench() as bench:
+            await bench.answer('a1')
+            before = bench.owner.shares_room
+            bench.owner._sharing.observe(types.SimpleNamespace(slowness=1.2))
+            return before, bench.owner.shares_room
+
+    assert asyncio.run(run()) == (False, True)
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -119,6 +119,13 @@
         """Return how many queued calls would start before a new one."""
         return self._queue.count_ahead(ticket)
 
+    def estimate_work_ahead(self, ticket):
+        """Return the work of queued calls that would start before a new one.
+
+        :returns: slot seconds, if the calls carry their costs.
+        """
+        return self._queue.estimate_work_ahead(ticket)
+
     def set_slots(self, slots):
         """Set the slots of a renewed announcement."""
         self._slots = slots
--- a/libs/admission/src/cactusloft_admission/_queue.py
+++ b/libs/admission/src/cactusloft_admission/_queue.py
@@ -1,9 +1,11 @@
 """Bounded queue with priority classes and fair shares within a class.
 
-Calls are served strictly by priority class. Within a class, nested calls come
-before root calls; nested calls are ordered by the rank of their call tree and
-root calls by the fair shares of their accounts. Calls are evicted in reverse
-order, so none is refused while a call of a lower class is queued.
+Calls are served strictly by priority class, and inside it by urgency where
+calls carry one. Among equals, nested calls come before root calls and calls
+that came back after a refusal before others; nested calls are then ordered by
+the rank of their call tree and root calls by the fair shares of their
+accounts. Calls are evicted in reverse order, so none is refused while a call
+of a lower class is queued.
 """
 
 import collections
@@ -23,15 +25,21 @@
     """Order of service; a plain tuple since it is compared for each call."""
 
     priority: calls.Priority
+    urgency: int
     nested: bool
+    is_return: bool
     step: int
 
 
 @attrs.define
 class _Lane:
-    """Queued calls of one rank."""
+    """Queued calls of one rank.
+
+    :ivar work: expected work of the queued calls of each account.
+    """
 
     by_account: dict[str, collections.deque] = attrs.Factory(dict)
+    work: dict[str, float] = attrs.Factory(dict)
     weights: dict[str, float] = attrs.Factory(dict)
 
     def push(self, account, ticket):
@@ -39,12 +47,13 @@
             account, collections.deque()
         )
         account_calls.append(ticket)
+        self.work[account] = self.work.get(account, 0.0) + ticket.work
         self.weights[account] = ticket.weight
 
     def pop(self, account, newest):
         account_calls = self.by_account[account]
         ticket = account_calls.pop() if newest else account_calls.popleft()
-        self._remove_if_empty(account)
+        self._record_removal(account, ticket)
         return ticket
 
     def remove(self, account, ticket):
@@ -52,21 +61,39 @@
         if ticket not in account_calls:
             return False
         account_calls.remove(ticket)
-        self._remove_if_empty(account)
+        self._record_removal(account, ticket)
         return True
 
-    def _remove_if_empty(self, account):
+    def _record_removal(self, account, ticket):
+        self.work[account] -= ticket.work
         if not self.by_account[account]:
             del self.by_account[account]
+            del self.work[account]
             del self.weights[account]
 
     def find_account_most_over_share(self):
-        """Return the account with the most queued calls for its weight."""
+        """Return the account with the most queued work for its weight.
+
+        Calls of unknown cost count as equal.
+        """
         return max(
-            self.by_account,
-            key=lambda a: len(self.by_account[a]) / self.weights[a],
+            self.by_account, key=lambda a: self.work[a] / self.weights[a]
         )
 
+    def estimate_work_before(self, account, weight, shares):
+        """Return the queued work that fair shares put before a new call.
+
+        :param shares: :class:`FairShares` of the priority class.
+        """
+        own = self.work.get(account, 0.0)
+        start_tag = shares.find_start_tag(account) + own / weight
+        before = own
+        for other, queued in self.work.items():
+            if other != account:
+                due = start_tag - shares.find_start_tag(other)
+                before += min(queued, max(0.0, due * self.weights[other]))
+        return before
+
 
 class CallQueue:
     """Calls queued for a slot of one backend server.
@@ -101,6 +128,29 @@
             for account_calls in lane.by_account.values()
         )
 
+    def estimate_work_ahead(self, ticket):
+        """Return the work of the queued calls served before a new call.
+
+        Of its own rank it counts what the fair shares put before it, so the
+        queue of one account does not count against the others.
+
+        :returns: slot seconds, if the calls carry their costs.
+        """
+        rank = self._get_rank(ticket)
+        ahead = sum(
+            sum(lane.work.values())
+            for other, lane in self._lanes.items()
+            if other > rank
+        )
+        lane = self._lanes.get(rank)
+        if lane is None:
+            return ahead
+        return ahead + lane.estimate_work_before(
+            self._get_account(ticket),
+            ticket.weight,
+            self._find_shares(rank.priority),
+        )
+
     def push(self, ticket):
         """Queue a call."""
         lane = self._lanes.setdefault(self._get_rank(ticket), _Lane())
@@ -146,7 +196,9 @@
         """Charge the expected slot seconds of a call to its account."""
         shares = self._find_shares(self._get_rank(ticket).priority)
         account = self._get_account(ticket)
-        ticket.charge_s = shares.charge_start(account, ticket.weight)
+        ticket.charge_s = shares.charge_start(
+            account, ticket.weight, ticket.cost_s
+        )
 
     def settle(self, ticket, used_s):
         """Replace the charge of an ended call by its actual slot seconds."""
@@ -157,8 +209,14 @@
     def _get_rank(self, ticket):
         if self._policy.priorities:
             step = int(RANK_STEPS * ticket.rank) if ticket.nested else 0
-            return _Rank(ticket.priority, ticket.nested, step)
-        return _Rank(calls.Priority.NORMAL, False, 0)
+            return _Rank(
+                ticket.priority,
+                ticket.urgency,
+                ticket.nested,
+                ticket.is_return,
+                step,
+            )
+        return _Rank(calls.Priority.NORMAL, 0, False, False, 0)
 
     def _get_account(self, ticket):
         return ticket.client_account if self._policy.fairness else ''
--- a/libs/admission/src/cactusloft_admission/_shares.py
+++ b/libs/admission/src/cactusloft_admission/_shares.py
@@ -25,12 +25,13 @@
         """
         return max(self._virtual_time, self._finish_tags.get(account, 0.0))
 
-    def charge_start(self, account, weight):
+    def charge_start(self, account, weight, cost_s=0.0):
         """Charge the expected slot seconds of a call to its account.
 
+        :param cost_s: expected slot seconds, 0 for the mean of the account.
         :returns: the charge in seconds, for ``settle``.
         """
-        charge_s = self._mean_charges.get(account, DEFAULT_CHARGE_S)
+        charge_s = cost_s or self._mean_charges.get(account, DEFAULT_CHARGE_S)
         self._virtual_time = self.find_start_tag(account)
         self._finish_tags[account] = self._virtual_time + charge_s / weight
         if len(self._finish_tags) > MAX_KEPT_ACCOUNTS:
--- a/libs/admission/src/cactusloft_admission/_tickets.py
+++ b/libs/admission/src/cactusloft_admission/_tickets.py
@@ -39,6 +39,9 @@
     :ivar kind: route, or another label of calls with similar service times.
     :ivar rank: rank of its call tree, see :func:`calls.compute_rank`.
     :ivar alone: whether the call must run with no other call in flight.
+    :ivar urgency: order inside the priority class, 0 if it has none.
+    :ivar is_return: whether it or its root came back after a refusal.
+    :ivar cost_s: slot seconds that it is expected to use, 0 if unknown.
     :ivar queued_at: monotonic seconds at which the call was submitted.
     :ivar started_at: monotonic seconds of the start, None until then.
     :ivar charge_s: slot seconds charged to the account at the start.
@@ -54,10 +57,18 @@
     kind: str = ''
     rank: float = 0.0
     alone: bool = False
+    urgency: int = 0
+    is_return: bool = False
+    cost_s: float = 0.0
     queued_at: float = 0.0
     started_at: float | None = None
     charge_s: float = 0.0
 
+    @property
+    def work(self):
+        """Return the cost of the call, 1 for each call if it is unknown."""
+        return self.cost_s or 1.0
+
     @property
     def last_start(self):
         """Return the latest time to start the call, in monotonic seconds."""
--- a/libs/model/src/cactusloft_model/_calls.py
+++ b/libs/model/src/cactusloft_model/_calls.py
@@ -45,6 +45,9 @@
     :ivar fingerprint: digest of account, service, method, path and body.
     :ivar is_repeat: whether this call or one of its ancestors is a retry.
     :ivar rank: rank of its call tree, see :func:`compute_rank`.
+    :ivar urgency: priority of the route of the root call, which orders calls
+        inside a priority class; 0 where the class alone decides.
+    :ivar is_return: whether the root call came back after a refusal.
     """
 
     call_id: str
@@ -60,6 +63,8 @@
     fingerprint: Fingerprint
     is_repeat: bool = False
     rank: float = 1.0
+    urgency: int = 0
+    is_return: bool = False
 
     def remaining_ms(self, now):
         """Return the milliseconds left until the deadline, at least 0.
