--- a/daemon/tests/resident/test_owner.py
+++ b/daemon/tests/resident/test_owner.py
@@ -306,7 +306,6 @@
 
     Replays calls of 0.8 s in one slot, each with a patience of 1.5 s: one
     runs, one waits behind it and the next ones could not end in time.
-    one waits behind it and the next ones could not end in time.
     """
 
     async def run():
