Count the wait at one owner at the next

Cause: a call that an owner queued and then refused brought its whole patience to the next owner and could be held there as long again.

Change: where room is shared by work, the patience of each further send is what the earlier ones have left, 50 ms at least.

--- a/bench/src/cactusloft_bench/declined_trees.py
+++ b/bench/src/cactusloft_bench/declined_trees.py
@@ -2,10 +2,9 @@
 
 The load: for 8.5 s the backend servers of the deepest service decline 55% of
 their calls at any load. Each tree sends four calls there, and repeats are
-bounded by the budget of that service. ``python -m
-cactusloft_bench.declined_trees`` compares running all trees with refusing roots
-of a low rank early, which lets their callers come back once. Random draws in
-simulated time, no waiting for slots.
+bounded by the budget of that service. The program compares running all trees
+with refusing roots of a low rank early, which lets their callers come back
+once. Random draws in simulated time, no waiting for slots.
 """
 
 import heapq
@@ -169,7 +168,7 @@
             results = [
                 simulate(refused_rank, return_after_s, s) for s in range(5)
             ]
-            credits = sorted(r.credit for r in results)
+            earned = sorted(r.credit for r in results)
             served = [
                 sum(r.served[i] for r in results) / len(results)
                 for i in range(len(KINDS))
@@ -177,7 +176,7 @@
             runs = sum(r.runs for r in results) / len(results)
             print(
                 f'{refused_rank:.2f}, {return_after_s:.1f}: '
-                f'{credits[2]:.3f} [{credits[0]:.3f}, {credits[-1]:.3f}], '
+                f'{earned[2]:.3f} [{earned[0]:.3f}, {earned[-1]:.3f}], '
                 f'{served[0]:.3f} and {served[1]:.3f}, {runs:.2f}'
             )
 
--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -11,6 +11,11 @@
 from cactusloftd.resident import _owner
 
 _E = errors.ErrorKind
+# Waits from this length on count against the patience of the next send.
+MIN_COUNTED_WAIT_S = 0.02
+# Patience of a call that has used all of its own, so that it still starts
+# where there is room.
+MIN_PATIENCE_S = 0.05
 
 
 @attrs.define
@@ -64,14 +69,20 @@
         self.owner = name
         self.is_in_flight = True
 
-    def make_call_to_send(self):
-        """Return the call for the next owner, marked as a repeat if it is."""
+    def make_call_to_send(self, waited_s=0.0):
+        """Return the call for the next owner, marked as a repeat if it is.
+
+        :param waited_s: seconds for which other owners have held it.
+        """
         call = self.call
         if self.sends and not call.context.is_repeat:
             context = attrs.evolve(call.context, is_repeat=True)
             call = attrs.evolve(call, context=context)
         if self.is_offer:
             call = attrs.evolve(call, needs_free_slot=True)
+        if waited_s >= MIN_COUNTED_WAIT_S:
+            patience_s = max(MIN_PATIENCE_S, call.patience_s - waited_s)
+            call = attrs.evolve(call, patience_s=patience_s)
         return call
 
     def take_least_loaded(self):
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -308,7 +308,7 @@
         return final_outcome
 
     async def _run_attempt(self, attempt):
-        call = attempt.call
+        call, started_at = attempt.call, self._now()
         await self._members.prepare(call.context.service)
         outcome = _calls.fail(
             _E.NO_BACKEND_SERVER, 'no member', _TRUE, NO_MEMBER_RETRY_AFTER_S
@@ -322,7 +322,10 @@
             if runner is None:
                 break
             attempt.start_send(name)
-            outcome = await runner.run(attempt.make_call_to_send())
+            waited_s = 0.0
+            if len(attempt.tried) > 1 and self._owner.shares_room:
+                waited_s = self._now() - started_at
+            outcome = await runner.run(attempt.make_call_to_send(waited_s))
             attempt.is_in_flight = False
             self._record_run(call, name, outcome)
             attempt.record_outcome(name, runner, outcome)
--- a/daemon/tests/resident/test_refused_calls.py
+++ b/daemon/tests/resident/test_refused_calls.py
@@ -124,3 +124,27 @@
     stubs.serve_nested([member], stubs.make_parent(is_return=True, urgency=3))
     assert member.calls[0].context.is_return
     assert member.calls[0].context.urgency == 3
+
+
+def test_wait_at_one_owner_counts_at_the_next():
+    """Guards against a call that waits its whole patience at each owner."""
+
+    class SlowMember(stubs.Member):
+        async def run(self, call):
+            self.calls.append(call)
+            await asyncio.sleep(0.06)
+            return self.outcome
+
+    async def run(shares_room):
+        first = SlowMember('m0', stubs.NO_SLOT)
+        second = stubs.Member('m1', stubs.succeed())
+        entry = stubs.make_entry(first, second)
+        entry.owner.shares_room = shares_room
+        await entry.serve(stubs.make_request(deadline_ms=300), 'track')
+        return first.calls[0].patience_s, second.calls[0].patience_s
+
+    first_s, second_s = asyncio.run(run(True))
+    assert second_s <= first_s - 0.05
+    # Other deployments are served as before.
+    first_s, second_s = asyncio.run(run(False))
+    assert second_s == first_s
