--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -11,6 +11,11 @@
 from cactusloftd.resident import _owner
 
 _E = errors.ErrorKind
+# Waits from this length on count against the patience of the next send.
+MIN_COUNTED_WAIT_S = 0.02
+# Patience of a call that has used all of its own, so that it still starts
+# where there is room.
+MIN_PATIENCE_S = 0.05
 
 
 @attrs.define
@@ -32,6 +37,8 @@
     :ivar is_offer: whether the owner is only asked for a free slot.
     :ivar is_in_flight: whether an owner is processing the call now.
     :ivar owner: name of the owner that was tried last.
+    :ivar room_in_s: least seconds until a call like it would start at an owner
+        that refused it, None if no owner said so.
     :ivar failed_outcome: outcome with the first error response of a backend
         server, returned to the client if no retry succeeds.
     """
@@ -48,6 +55,7 @@
     is_in_flight: bool = False
     is_offer: bool = False
     owner: str = ''
+    room_in_s: float | None = None
     failed_outcome: object = None
 
     @property
@@ -61,14 +69,20 @@
         self.owner = name
         self.is_in_flight = True
 
-    def make_call_to_send(self):
-        """Return the call for the next owner, marked as a repeat if it is."""
+    def make_call_to_send(self, waited_s=0.0):
+        """Return the call for the next owner, marked as a repeat if it is.
+
+        :param waited_s: seconds for which other owners have held it.
+        """
         call = self.call
         if self.sends and not call.context.is_repeat:
             context = attrs.evolve(call.context, is_repeat=True)
             call = attrs.evolve(call, context=context)
         if self.is_offer:
             call = attrs.evolve(call, needs_free_slot=True)
+        if waited_s >= MIN_COUNTED_WAIT_S:
+            patience_s = max(MIN_PATIENCE_S, call.patience_s - waited_s)
+            call = attrs.evolve(call, patience_s=patience_s)
         return call
 
     def take_least_loaded(self):
@@ -83,6 +97,8 @@
             error = outcome.failure()
             if error.detail == _owner.NO_FREE_SLOT:
                 self.full_owners.append((runner.load or 1.0, name, runner))
+            if error.detail in _owner.NO_ROOM_DETAILS:
+                self._record_room(error.retry_after_s)
             if is_not_run(error) and not is_declined(error):
                 return
             if is_declined(error):
@@ -90,6 +106,12 @@
         self.sends += 1
         self.reached.add(name)
 
+    def _record_room(self, room_in_s):
+        if room_in_s is None:
+            return
+        if self.room_in_s is None or room_in_s < self.room_in_s:
+            self.room_in_s = room_in_s
+
     async def close_failed_outcome(self):
         """Release what the first error response holds, if there is one."""
         if self.failed_outcome is not None:
@@ -120,7 +142,10 @@
             # Clients retry a request that is not idempotent only if the
             # response declares that it has not run.
             error = errors.CallError(_E.NO_BACKEND_SERVER, error.detail)
-        if is_not_run(error) and error.retry_after_s is None:
+        # What an owner names is its own queue; the callers are spread here.
+        has_time = error.retry_after_s is not None
+        has_time = has_time and error.detail not in _owner.NO_ROOM_DETAILS
+        if is_not_run(error) and not has_time:
             error = attrs.evolve(error, retry_after_s=retry_after_s)
         return result.Failure(error)
 
