Place calls by work where servers report how long work takes

Cause: requests that look alike cost servers very different amounts of work, the load header with four figures was dropped, and an entry compared members by calls per slot only.

Change: libs/placement holds expected costs by route, the speed of a server now, what it still has to do and the choice between members by expected end. The load header is decoded with three or four figures. Owners tell entries the time until a new call starts and the slowness, and decline an offered call that would suffer from a slow host. Entries choose by work only while members of the service report their slowness; otherwise by load as before.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN = $(VENV)/bin
 
 PROJECTS = libs/model libs/consensus libs/admission libs/quota libs/ledger \
-	libs/retry libs/membership libs/link daemon cli bench \
+	libs/retry libs/membership libs/link libs/placement daemon cli bench \
 	platform
 
 $(VENV)/.installed: requirements.txt $(addsuffix /pyproject.toml,$(PROJECTS))
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -8,6 +8,7 @@
 import cactusloft_link as link
 from cactusloft_model import calls
 from cactusloft_model import errors
+from cactusloft_placement import work as placement_work
 from cactusloftd import _messages
 from cactusloftd import _peers
 
@@ -229,24 +230,25 @@
         hosts = sorted(self._control_hosts, key=lambda host: host != home)
         return [self._node.connect(host.address) for host in hosts]
 
-    def choose(self, service, excluded):
+    def choose(self, service, excluded, call=None):
         """Return a member that serves ``service``, or None.
 
         Members whose link is down or unresponsive are chosen only if there is
         no other.
 
         :param excluded: names of daemons that must not be chosen.
+        :param call: the call, for a choice that depends on it, or None.
         """
         chooser = self._view.find_chooser(service)
         now = self._now()
-        chosen = chooser.choose(now, excluded)
+        chosen = chooser.choose(now, excluded, call)
         if chosen is None or not self._is_suspect(chosen):
             return chosen
         suspects = filter(self._is_suspect, chooser.members)
         names = (member.name for member in suspects)
-        chosen = chooser.choose(now, {*excluded, *names})
+        chosen = chooser.choose(now, {*excluded, *names}, call)
         # A link that is still being established is better than none.
-        return chosen or chooser.choose(now, excluded)
+        return chosen or chooser.choose(now, excluded, call)
 
     def _is_suspect(self, member):
         peer = self._links.get(member.name)
@@ -327,6 +329,11 @@
         """Return the calls per slot that the last reply reported, or None."""
         return self._owner.load
 
+    @property
+    def work(self):
+        """Return the :class:`work.WorkReport` of the last reply, or None."""
+        return self._owner.work
+
     def read_pressure(self, call):
         """Return the pressure that the response reported."""
         return self._owner.read_pressure(call)
@@ -350,6 +357,8 @@
             if self._owner.load is not None:
                 self._chooser.record_load(self._name, self._owner.load, now)
             response = outcome.value_or(None)
+            if self._owner.work is not None:
+                self._record_work(call, response, started_at, now)
             if response is not None:
                 if response.status < 500:
                     self._chooser.record_latency(
@@ -366,6 +375,42 @@
             if not finishes_on_close:
                 self._finish()
 
+    def estimate_end(self, call):
+        """Return the seconds until the end of a call that waits here.
+
+        None if the last reply did not report the work of the member.
+        """
+        report, policy = self._owner.work, self._chooser.policy
+        if report is None or policy is None:
+            return None
+        return placement_work.estimate_end(
+            report, policy.expect_cost(call.route)
+        )
+
+    def _record_work(self, call, response, started_at, now):
+        """Record what the reply reported of the work of the member."""
+        policy, report = self._chooser.policy, self._owner.work
+        if policy is None:
+            return
+        slowness = report.slowness / 100
+        policy.record_report(
+            self._name,
+            report.start_delay_ms / 1000,
+            slowness,
+            self._owner.load,
+            now,
+        )
+        # Other calls may have waited at the owner.
+        if not call.needs_free_slot:
+            return
+        elapsed_s = now - started_at
+        if response is None:
+            policy.record_round_trip(self._name, elapsed_s)
+        elif response.status < 500:
+            policy.record_latency(
+                self._name, call.route, elapsed_s, slowness, now
+            )
+
     def _finish(self):
         self._chooser.finish(self._name)
         self._on_call_end()
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -10,6 +10,7 @@
 from cactusloft_model import calls
 from cactusloft_model import document
 from cactusloft_model import errors
+from cactusloft_placement import work as placement_work
 import cactusloft_quota as quota
 from cactusloft_retry import marks as retry_marks
 from cactusloftd import _rate_messages
@@ -74,6 +75,8 @@
     :ivar is_caused_below: whether a nested call of this run failed.
     :ivar leaving_process: process of the backend server that responded, if it
         is about to leave.
+    :ivar work: what the backend server still has to do, if it reports how
+        long work takes.
     """
 
     status: int
@@ -84,6 +87,7 @@
     load: float = 0.0
     is_caused_below: bool = False
     leaving_process: registry.BackendProcess | None = None
+    work: placement_work.WorkReport | None = None
 
 
 @attrs.frozen
@@ -94,6 +98,8 @@
     :ivar load: running and queued calls per slot of the owner.
     :ivar retry_after_s: seconds after which to retry, or None for the default
         of the error kind.
+    :ivar work: what the backend server still has to do, if it reports how
+        long work takes.
     """
 
     kind: errors.ErrorKind
@@ -102,6 +108,7 @@
     pressure: float
     load: float = 0.0
     retry_after_s: float | None = None
+    work: placement_work.WorkReport | None = None
 
 
 @attrs.frozen
--- a/daemon/src/cactusloftd/_owner.py
+++ b/daemon/src/cactusloftd/_owner.py
@@ -31,8 +31,12 @@
     :param log: :class:`events.EventLog`.
     :param metrics: :class:`_metrics.Metrics`.
     :param now: function that returns monotonic seconds.
+    :ivar work: always None, as these backend servers do not report how long
+        work takes.
     """
 
+    work = None
+
     def __init__(self, config, guards, log, metrics, now):
         self._config = config
         self._flow = guards.flow
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -27,6 +27,7 @@
 
     :ivar load: running and queued calls per slot, as reported with the last
         reply of the owner, or None.
+    :ivar work: :class:`work.WorkReport` of that reply, or None.
     :param peer: :class:`link.Link` to the owner's daemon.
     :param now: function that returns monotonic seconds.
     """
@@ -35,7 +36,7 @@
         self._peer = peer
         self._now = now
         self._pressure = pressure.NO_PRESSURE
-        self.load = None
+        self.load = self.work = None
 
     def read_pressure(self, _call):
         """Return the pressure that came with the last reply."""
@@ -63,6 +64,7 @@
             outcome = _convert_reply(stream, frame)
             self._pressure = _read_pressure(frame.message)
             self.load = getattr(frame.message, 'load', None)
+            self.work = getattr(frame.message, 'work', None)
             is_streaming = isinstance(outcome, result.Success)
             if _is_final(frame.message):
                 stream.finish()
@@ -97,14 +99,15 @@
         else:
             outcome = await self._owner.run(call)
         level = self._owner.read_pressure(call).level
-        load = self._owner.load
+        load, work = self._owner.load, self._owner.work
         if isinstance(outcome, result.Failure):
-            await stream.send(_make_refusal(outcome.failure(), level, load))
+            error = outcome.failure()
+            await stream.send(_make_refusal(error, level, load, work))
             stream.finish()
             return
         response = outcome.unwrap()
         try:
-            await _send_response(stream, response, level, load)
+            await _send_response(stream, response, level, load, work)
         finally:
             await response.close()
 
@@ -170,7 +173,7 @@
     )
 
 
-def _make_refusal(error, level, load):
+def _make_refusal(error, level, load, work):
     return _messages.Refusal(
         error.kind,
         error.detail,
@@ -178,6 +181,7 @@
         level,
         load,
         error.retry_after_s,
+        work,
     )
 
 
@@ -193,7 +197,7 @@
         await stream.send(make_message(is_last), chunk)
 
 
-async def _send_response(stream, response, level, load):
+async def _send_response(stream, response, level, load, work):
     """Send a response; a small body is sent in one message with the head."""
     chunks = response.chunks
     is_small = (
@@ -210,6 +214,7 @@
         load,
         response.is_caused_below,
         response.leaving_process,
+        work,
     )
     await stream.send(head, body)
     if is_small:
--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -27,7 +27,9 @@
         declined to run the call.
     :ivar offers_left: number of owners that may still be asked for a free
         slot before the call waits for one.
-    :ivar full_owners: load, name and runner of each owner that had none.
+    :ivar full_owners: rank, name and runner of each owner that had none or
+        was slow; the rank is the expected end of the call there, or the load
+        of owners that do not know it.
     :ivar may_have_run: whether a backend server may have run the call.
     :ivar is_offer: whether the owner is only asked for a free slot.
     :ivar is_in_flight: whether an owner is processing the call now.
@@ -81,8 +83,9 @@
         """Count a send that reached a backend server."""
         if isinstance(outcome, result.Failure):
             error = outcome.failure()
-            if error.detail == _owner.NO_FREE_SLOT:
-                self.full_owners.append((runner.load or 1.0, name, runner))
+            if error.detail in (_owner.NO_FREE_SLOT, _owner.SLOW_NOW):
+                rank = runner.estimate_end(self.call) or runner.load or 1.0
+                self.full_owners.append((rank, name, runner))
             if is_not_run(error) and not is_declined(error):
                 return
             if is_declined(error):
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -54,6 +54,7 @@
 _NOT_SENT_DETAILS = (
     _owner.NO_SLOT,
     _owner.NO_FREE_SLOT,
+    _owner.SLOW_NOW,
     _delivery.UNREACHABLE,
 )
 
@@ -316,7 +317,7 @@
         is_local = is_local and self._name not in tried
         if is_local and self._is_local_choice(call):
             return self._name, self._owner
-        member = self._members.choose(service, tried | {self._name})
+        member = self._members.choose(service, tried | {self._name}, call)
         if member is not None:
             return member.name, self._members.make_runner(member)
         return (self._name, self._owner) if is_local else (None, None)
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -21,6 +21,7 @@
 from cactusloftd import _calls
 from cactusloftd import _gate
 from cactusloftd.resident import _backend_server
+from cactusloftd.resident import _backlog
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _runs
 from cactusloftd.resident import _service_times
@@ -41,6 +42,7 @@
 NS_PER_MS = 10**6
 NO_SLOT = 'no slot in time'
 NO_FREE_SLOT = 'no free slot'
+SLOW_NOW = 'slow at present'
 # Resources in the metrics.
 SLOT, QUEUE_PLACE = 'slot', 'queue_place'
 _E = errors.ErrorKind
@@ -98,6 +100,7 @@
         self._probe_task = None
         self._loss_id = ''
         self._times = _service_times.ServiceTimes()
+        self._backlog = _backlog.Backlog(self._times, now)
         self._running = {}
         self._is_stopping = False
         self.on_change = lambda: None
@@ -164,6 +167,22 @@
         load = self.held / max(1.0, slots)
         return load if self._gate.has_capacity else max(1.0, load)
 
+    @property
+    def work(self):
+        """Return the :class:`work.WorkReport` for entries, or None."""
+        if self._gate is None:
+            return None
+        return self._backlog.make_report(
+            self._gate.admission.compute_limit(), self._gate.has_capacity
+        )
+
+    def estimate_end(self, call):
+        """Return the seconds until the end of a call that waits here.
+
+        None if the backend server does not report how long work takes.
+        """
+        return self._backlog.estimate_end(call, self.work)
+
     @property
     def admission(self):
         """Return the :class:`controller.Admission`, None at first."""
@@ -276,10 +295,17 @@
         gate, arrived_at = self._gate, self._now()
         if call.needs_free_slot and not gate.has_capacity:
             return _calls.fail(_E.OVERLOADED, NO_FREE_SLOT)
+        if call.needs_free_slot and self._backlog.is_slow_for(call):
+            return _calls.fail(_E.OVERLOADED, SLOW_NOW)
         ticket = self._make_ticket(call, arrived_at)
         if self._would_start_late(ticket):
             return self._refuse(call, ticket, _G.EVICTED)
-        verdict = await gate.enter(ticket)
+        backlog = self._backlog
+        cost_s = backlog.enqueue(call.route)
+        try:
+            verdict = await gate.enter(ticket)
+        finally:
+            backlog.dequeue(cost_s)
         if verdict is not _G.STARTED:
             return self._refuse(call, ticket, verdict)
         self._metrics.record(
@@ -288,7 +314,10 @@
             _PRIORITY_NAMES[call.context.priority],
         )
         self._metrics.grant(SLOT)
-        run = _runs.Run(call, gate, ticket, self._delivery)
+        slowness = backlog.start(cost_s, ticket.started_at)
+        run = _runs.Run(
+            call, gate, ticket, self._delivery, backlog, cost_s, slowness
+        )
         # The backend server may have stopped serving during the wait.
         if not self.is_serving or gate is not self._gate:
             self._release(run)
@@ -373,6 +402,10 @@
                     run.outcome = _O.ERROR
                 service_time_s = self._now() - run.ticket.started_at
                 self._times.record(call.route, service_time_s)
+                if run.outcome is _O.SUCCESS:
+                    run.backlog.record_success(
+                        call.route, service_time_s, run.cost_s, run.slowness
+                    )
                 is_slot_kept = True
                 return result.Success(self._release_on_close(run, response))
             error = outcome.failure()
@@ -474,6 +507,7 @@
         run.is_released = True
         self._metrics.release(SLOT)
         self._running.pop(run.call.context.call_id, None)
+        run.backlog.finish(run.cost_s, run.ticket.started_at)
         run.gate.leave(run.ticket, run.outcome)
 
     def _handle_metadata(self, gate, metadata, sent_at):
@@ -481,6 +515,7 @@
         gate.receive_response(metadata.rate_limit, sent_at)
         if gate is not self._gate:
             return
+        self._backlog.receive_load(metadata.load)
         if metadata.is_leaving and not self._state.has_left:
             self._state.has_left = True
             self._log_draining(self._state.heartbeat.instance)
@@ -507,6 +542,7 @@
             self._metrics.release, _delivery.CONNECTION
         )
         self._times.clear_routes()
+        self._backlog = _backlog.Backlog(self._times, self._now)
         admission = controller.Admission(
             heartbeat.slots,
             self._now,
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -18,6 +18,7 @@
 from cactusloft_membership import registry
 from cactusloft_model import clock
 from cactusloft_model import events
+from cactusloft_placement import choice as placement
 import cactusloft_quota as quota
 from cactusloftd import _control_plane
 from cactusloftd import _exchanges
@@ -102,7 +103,14 @@
             settings.control_hosts,
             self._make_registration,
             choice.MembershipView(
-                settings.name, settings.data_centre, random.Random()
+                settings.name,
+                settings.data_centre,
+                random.Random(),
+                functools.partial(
+                    placement.WorkChooser,
+                    settings.data_centre,
+                    random.Random(),
+                ),
             ),
             self._now,
         )
--- a/daemon/src/cactusloftd/resident/protocol.py
+++ b/daemon/src/cactusloftd/resident/protocol.py
@@ -69,6 +69,23 @@
     address: str = ''
 
 
+@attrs.frozen
+class ServerLoad:
+    """Load that a backend server reports with a response; it may be wrong.
+
+    :ivar running: number of calls that it runs.
+    :ivar waiting: number of calls that it queues.
+    :ivar slots: number of calls that it can run concurrently.
+    :ivar slowness: how long work takes on its host now, as a multiple of the
+        usual time, None if it does not report that.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None = None
+
+
 @attrs.frozen
 class ResponseMetadata:
     """Metadata from the head of a backend server's response.
@@ -77,7 +94,7 @@
     :ivar is_not_run: whether it declares that the request was not run.
     :ivar is_other_instance: whether the request was meant for another
         instance than the one that received it.
-    :ivar load: number of calls that it runs and queues, None if absent.
+    :ivar load: :class:`ServerLoad`, None if absent.
     :ivar idle_s: its idle timeout of connections in seconds, None if absent.
     :ivar rate_limit: requests per second that it accepts at present from all
         hosts together, None if it names no limit.
@@ -87,7 +104,7 @@
     attempt_id: str
     is_not_run: bool
     is_other_instance: bool
-    load: int | None
+    load: ServerLoad | None
     idle_s: float | None
     rate_limit: float | None = None
     is_leaving: bool = False
--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -84,6 +84,9 @@
         self.outcome = outcome
         self.calls = []
 
+    def estimate_end(self, call):
+        return None
+
     async def run(self, call):
         self.calls.append(call)
         if call.needs_free_slot and self.load >= 1.0:
@@ -108,7 +111,7 @@
         if self.prepare_s:
             await asyncio.sleep(self.prepare_s)
 
-    def choose(self, service, excluded):
+    def choose(self, service, excluded, call=None):
         remaining = (m for m in self._members if m.name not in excluded)
         return next(remaining, None)
 
--- a/libs/membership/src/cactusloft_membership/_choice.py
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -8,6 +8,7 @@
 import collections
 import itertools
 import math
+import typing
 
 import attrs
 
@@ -85,17 +86,41 @@
         )
 
 
+class ChoicePolicy(typing.Protocol):
+    """A choice that replaces the one by load while it is active."""
+
+    def is_active(self, now: float) -> bool:
+        """Tell whether the members report what the choice needs."""
+
+    def update(self, members: tuple, now: float):
+        """Replace the members to choose from."""
+
+    def begin(self, name: str):
+        """Record that a call to a member has begun."""
+
+    def choose(self, members: list, call, find_penalty, now: float):
+        """Return the member for a call, None without any.
+
+        :param members: :class:`Registration` of each usable member.
+        :param call: has ``route`` and ``patience_s``.
+        :param find_penalty: function(name) that returns the load to add for
+            reasons other than work, such as failed calls.
+        """
+
+
 class Chooser:
     """Choose members of one service for calls.
 
     :param data_centre: data centre of this daemon, whose members are
         preferred.
     :param random_source: like :class:`random.Random`; its ``shuffle`` is used.
+    :param policy: :class:`ChoicePolicy`, or None to choose by load only.
     """
 
-    def __init__(self, data_centre, random_source):
+    def __init__(self, data_centre, random_source, policy=None):
         self._data_centre = data_centre
         self._random = random_source
+        self._policy = policy
         self._states = {}
         self._members = ()
         self._mean_latencies = collections.OrderedDict()
@@ -105,6 +130,11 @@
         """Return the members to choose from."""
         return self._members
 
+    @property
+    def policy(self):
+        """Return the :class:`ChoicePolicy`, or None."""
+        return self._policy
+
     @property
     def in_flight(self):
         """Return the calls from this daemon that have not finished."""
@@ -134,12 +164,15 @@
             for name, state in self._states.items()
             if name in names or state.in_flight
         }
+        if self._policy is not None:
+            self._policy.update(self._members, now)
 
-    def choose(self, now, excluded=()):
+    def choose(self, now, excluded=(), call=None):
         """Return the member for a call, or None when no member is usable.
 
         :param now: monotonic seconds.
         :param excluded: names of members that must not be chosen.
+        :param call: the call, for a policy that depends on it, or None.
         """
         usable = [
             member
@@ -148,6 +181,13 @@
             and member.name not in excluded
             and self._states[member.name].excluded_until <= now
         ]
+        if call is not None and self._is_policy_active(now):
+            return self._policy.choose(
+                usable,
+                call,
+                lambda name: self._compute_penalty(self._states[name], now),
+                now,
+            )
         # In random order, so that the first acceptable members are a random
         # sample and the loads of the others need not be computed. min()
         # returns the first of equals, which must not always be the same
@@ -167,6 +207,8 @@
         if state is not None:
             state.in_flight += 1
             state.begun_since_load += 1
+        if self._policy is not None:
+            self._policy.begin(name)
 
     def finish(self, name):
         """Record that a call to a member is no longer in flight."""
@@ -233,6 +275,19 @@
         if state is not None:
             state.excluded_until = now + EXCLUSION_S
 
+    def _is_policy_active(self, now):
+        return self._policy is not None and self._policy.is_active(now)
+
+    def _compute_penalty(self, state, now):
+        """Return the load to add for failures, pressure and a slow start."""
+        penalty = PRESSURE_WEIGHT * self._find_recent_pressure(state, now)
+        if state.failure_share > MIN_FAILURE_SHARE:
+            penalty += FAILURE_WEIGHT * state.failure_share
+        share = compute_slow_start_share(now - state.first_seen_at)
+        if share < 1.0:
+            penalty += state.in_flight * (1.0 / share - 1.0)
+        return penalty
+
     def _is_local_choice(self, member, now):
         if member.data_centre != self._data_centre:
             return False
--- a/libs/membership/src/cactusloft_membership/_view.py
+++ b/libs/membership/src/cactusloft_membership/_view.py
@@ -18,12 +18,15 @@
     :param daemon: name of this daemon.
     :param data_centre: data centre of this daemon.
     :param random_source: like :class:`random.Random`.
+    :param make_policy: function that returns the :class:`ChoicePolicy` of a
+        service, None to choose by load only.
     """
 
-    def __init__(self, daemon, data_centre, random_source):
+    def __init__(self, daemon, data_centre, random_source, make_policy=None):
         self._daemon = daemon
         self._data_centre = data_centre
         self._random = random_source
+        self._make_policy = make_policy
         self._choosers = {}
         self._last_used_at = {}
         self._departures = _departures.Departures()
@@ -99,7 +102,8 @@
         """Return the :class:`Chooser` of a service; create it on first use."""
         chooser = self._choosers.get(service)
         if chooser is None:
-            chooser = _choice.Chooser(self._data_centre, self._random)
+            policy = self._make_policy and self._make_policy()
+            chooser = _choice.Chooser(self._data_centre, self._random, policy)
             self._choosers[service] = chooser
         return chooser
 
