--- a/daemon/src/cactusloftd/resident/_sharing.py
+++ b/daemon/src/cactusloftd/resident/_sharing.py
@@ -27,7 +27,7 @@
 
         :param load: load of a :class:`protocol.ResponseMetadata`, or None.
         """
-        if getattr(load, 'slowness', None) is not None:
+        if load is not None and load.slowness is not None:
             self.is_on = True
 
 
