Bound unread responses and heads that are parsed early

Cause: a review of the limits on clients found paths around them. Responses of up to 64 KiB to pipelined requests were written without waiting for a client that reads nothing. A head behind a chunked body in the same 16 KiB was decoded without a hold. An error in such bytes refused the whole request before them. A client that left while reading was paused was not noticed. A close with unread bytes reset the connection and lost the last response. 100 Continue was written into an earlier response and to HTTP/1.0 clients.

Change: requests are handled while the client takes its responses; one that takes none for 75 s is disconnected. Lines of early heads are held as they are parsed, and an error is raised after the requests before it. While reading is paused, a poll every 0.2 s finds clients that left. A connection with bytes that are not handled lingers before it is closed. A permission to send a body waits for the earlier responses.

--- a/daemon/src/cactusloftd/resident/_http_connection.py
+++ b/daemon/src/cactusloftd/resident/_http_connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import http
+import select
 
 import attrs
 
@@ -33,6 +34,8 @@
 # some time, since a close with unread bytes would also discard the refusal.
 LINGER_S = 1.0
 MAX_LINGER_BYTES = 512 * 1024
+# While reading is paused, the event loop does not tell that a client left.
+LEAVE_CHECK_INTERVAL_S = 0.2
 # Statuses of the refusals that promise that the request has not run.
 TIMEOUT_STATUS, NO_MEMORY_STATUS = 408, 503
 _BODILESS = (204, 304)
@@ -67,7 +70,9 @@
         self._is_parsing = False
         self._is_starting = False
         self._is_reading_paused = False
-        # Bytes discarded since a refusal, None before.
+        # Whether the client sent bytes that are not handled.
+        self._has_discarded = False
+        # Bytes discarded since the last response, None before.
         self._lingering_bytes = None
         self._writable = None
         self.progress = memory.Progress(self._loop.time())
@@ -83,6 +88,7 @@
         """Cancel the request in progress; called by the event loop."""
         self._listener.discard(self)
         self._is_closing = True
+        self._is_reading_paused = False
         self._reader.release()
         for exchange in self._running:
             if exchange.task is not None:
@@ -100,6 +106,7 @@
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
+        self._start_requests()
 
     def data_received(self, data):
         """Keep received data and start requests; called by the event loop."""
@@ -120,12 +127,14 @@
         """Close the connection if its idle or receive timeout has passed."""
         if self._running:
             return
-        if self.progress.is_late(now, self._reader.body_bytes):
+        is_idle = now - self.progress.began_at > IDLE_TIMEOUT_S
+        if self._transport.get_write_buffer_size():
+            # A close would wait for a client that reads nothing.
+            if is_idle:
+                self._transport.abort()
+        elif self.progress.is_late(now, self._reader.body_bytes):
             self._refuse(TIMEOUT_STATUS, 'request not complete in time')
-        elif (
-            not self.progress.is_receiving
-            and now - self.progress.began_at > IDLE_TIMEOUT_S
-        ):
+        elif is_idle and not self.progress.is_receiving:
             self.close()
 
     @property
@@ -159,23 +168,47 @@
     def _stop_reading(self):
         """Handle no further requests; those not begun count as not read."""
         self._is_closing = True
+        if self._reader.unread_bytes or self._is_reading_paused:
+            self._has_discarded = True
         self._reader.release()
+        if self._is_reading_paused and not self._transport.is_closing():
+            self._is_reading_paused = False
+            self._transport.resume_reading()
 
     def _discard(self, data):
-        """Discard what a client sends after its refusal, within a limit."""
-        if self._lingering_bytes is not None:
-            self._lingering_bytes += len(data)
-            if self._lingering_bytes > MAX_LINGER_BYTES:
-                self._transport.abort()
+        """Discard what a client sends that is not handled, within a limit."""
+        self._has_discarded = True
+        if self._lingering_bytes is None:
+            return
+        self._lingering_bytes += len(data)
+        if (
+            self._lingering_bytes > MAX_LINGER_BYTES
+            and not self._transport.is_closing()
+        ):
+            self._transport.pause_reading()
 
     def _linger(self):
-        """Close once the client had time to read the refusal."""
+        """Close once the client had time to read the last response."""
+        if self._transport.is_closing():
+            return
         self._lingering_bytes = 0
         self._transport.write_eof()
         self._loop.call_later(LINGER_S, self._transport.close)
 
+    def _check_left(self):
+        """Close the connection if its client has left."""
+        if not self._is_reading_paused or self._transport.is_closing():
+            return
+        if _has_left(self._transport.get_extra_info('socket')):
+            self._transport.close()
+        else:
+            self._loop.call_later(LEAVE_CHECK_INTERVAL_S, self._check_left)
+
     def _send_continue(self):
-        self._transport.write(CONTINUE_RESPONSE)
+        """Permit a body, unless it would be taken for an earlier response."""
+        if not self._running:
+            self._reader.awaits_continue = False
+            self._transport.write(CONTINUE_RESPONSE)
 
     def _refuse(self, status, detail):
         """Respond to a request that cannot be handled, and close."""
@@ -194,13 +227,16 @@
         """Handle received requests as far as the limit allows.
 
         Other connections have their turn after that many requests, also where
-        all of them are answered at once.
+        all of them are answered at once. A client that does not read its
+        responses has no further requests handled.
         """
         if self._is_starting or self._is_closing:
             return
         self._is_starting = True
         try:
             for _ in range(MAX_CONCURRENT_REQUESTS - len(self._running)):
+                if self._writable is not None:
+                    break
                 received = self._read_request()
                 if received is None:
                     break
@@ -210,6 +246,10 @@
                     self._loop.call_soon(self._start_requests)
         finally:
             self._is_starting = False
+        if self._is_closing:
+            return
+        if self._reader.awaits_continue:
+            self._send_continue()
         self._pause_or_resume_reading()
 
     def _start_request(self, received):
@@ -242,15 +282,16 @@
             self.progress.receive(self._reader.unread_bytes, now)
 
     def _pause_or_resume_reading(self):
-        is_full = (
+        is_full = self._reader.unread_bytes > MAX_WAITING_BYTES and (
             len(self._running) >= MAX_CONCURRENT_REQUESTS
-            and self._reader.unread_bytes > MAX_WAITING_BYTES
+            or self._writable is not None
         )
-        if is_full == self._is_reading_paused or self._is_closing:
+        if is_full == self._is_reading_paused or self._transport.is_closing():
             return
         self._is_reading_paused = is_full
         if is_full:
             self._transport.pause_reading()
+            self._loop.call_later(LEAVE_CHECK_INTERVAL_S, self._check_left)
         else:
             self._transport.resume_reading()
 
@@ -283,7 +324,10 @@
         if not self._is_closing:
             self._start_requests()
         elif not self._running:
-            self._transport.close()
+            if self._has_discarded:
+                self._linger()
+            else:
+                self._transport.close()
 
     def _abort(self, error):
         """Abort the connection after an error.
@@ -383,3 +427,10 @@
         lines.append('Connection: close')
     text = '\r\n'.join(lines) + '\r\n\r\n'
     return text.encode('latin-1')
+
+
+def _has_left(client):
+    """Tell whether the other end of a socket has closed it."""
+    poll = select.poll()
+    poll.register(client.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/daemon/src/cactusloftd/resident/_http_reader.py
+++ b/daemon/src/cactusloftd/resident/_http_reader.py
@@ -65,7 +65,8 @@
     :param read_time: function that returns the time of the event loop in
         seconds.
     :param on_continue: function called when the client waits for permission
-        to send a body.
+        to send a body, unless an earlier request was not read yet.
+    :ivar awaits_continue: whether the client waits for it.
     :ivar is_upgraded: whether bytes follow that are not HTTP.
     """
 
@@ -80,6 +81,10 @@
         # End, in bytes since the first one, and time of each arrival.
         self._arrivals = collections.deque()
         self._finished = collections.deque()
+        # Raised once the requests before it are read.
+        self._error = None
+        # Whether bytes are parsed that may be behind the end of a body.
+        self._is_parsing_body = False
         self.is_upgraded = False
         self._begin_request()
 
@@ -115,9 +120,15 @@
         :raises MalformedRequestError: when it must not be handled.
         """
         while not self._finished:
-            has_progress = (
-                self._read_body() if self._has_head else self._read_head()
-            )
+            if self._error is not None:
+                raise self._error
+            try:
+                has_progress = (
+                    self._read_body() if self._has_head else self._read_head()
+                )
+            except MalformedRequestError as error:
+                self._error = error
+                continue
             if not has_progress:
                 return None
         return self._finished.popleft()
@@ -140,14 +151,14 @@
 
     def on_url(self, data):
         """Append to the request target."""
+        self._add_head_bytes(len(data), 0)
         self._target += data
-        self._add_head_bytes(len(data))
 
     def on_header(self, name, value):
         """Store one header line; those behind a body are ignored."""
         if self._has_head:
             return
-        self._add_head_bytes(len(name) + len(value))
+        self._add_head_bytes(len(name) + len(value), 1)
         self._headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self):
@@ -160,7 +171,9 @@
             if self._left_bytes > MAX_BODY_BYTES:
                 raise MalformedRequestError(413, 'body too large')
         if fields.get('expect').lower() == '100-continue':
-            self._on_continue()
+            self.awaits_continue = self._parser.get_http_version() != '1.0'
+            if self.awaits_continue and not self._finished:
+                self._on_continue()
 
     def on_body(self, data):
         """Append to the body."""
@@ -203,7 +216,7 @@
         self._fields = None
         self._body = bytearray()
         self._hold = self._budget.make_hold()
-        self._has_begun = self._has_head = False
+        self._has_begun = self._has_head = self.awaits_continue = False
         # Bytes of the body that are still to come, None if they are chunked.
         self._left_bytes = None
         self._head_bytes = self._empty_bytes = self._overhead_bytes = 0
@@ -248,7 +261,11 @@
         if not size:
             return False
         self._overhead_bytes += size
-        self._parse(self._take_unread(size))
+        self._is_parsing_body = True
+        try:
+            self._parse(self._take_unread(size))
+        finally:
+            self._is_parsing_body = False
         limit = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * len(self._body)
         if self._overhead_bytes > limit:
             raise MalformedRequestError(431, 'chunks too small')
@@ -279,10 +296,13 @@
         except httptools.HttpParserError as error:
             raise MalformedRequestError(400, type(error).__name__) from None
 
-    def _add_head_bytes(self, size):
+    def _add_head_bytes(self, size, lines):
         self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES:
             raise MalformedRequestError(431, 'head too large')
+        # The hold of any other head was extended before it was parsed.
+        if self._is_parsing_body and not self._hold.add_head(lines, size):
+            raise MalformedRequestError(503, 'no memory for the head')
 
 
 def _read_target(raw):
--- a/daemon/tests/resident/test_http_reader.py
+++ b/daemon/tests/resident/test_http_reader.py
@@ -110,3 +110,23 @@
         assert raised.value.status == status
     reader.release()
     assert budget.held_bytes == 0
+
+
+def test_head_behind_a_chunked_body_holds_its_lines():
+    """It is parsed together with the end of the body before it."""
+    reader, budget = make_reader()
+    reader.feed(CHUNKED + b'GET / HTTP/1.1\r\n' + b'a:b\r\n' * 2000)
+    reader.read().hold.release()
+    assert budget.held_bytes > 2000 * 150
+    reader.release()
+    assert budget.held_bytes == 0
+
+
+def test_heads_behind_chunked_bodies_have_a_limit():
+    """A crowd of them must not hold more than the budget."""
+    reader, _ = make_reader(total_bytes=300_000)
+    reader.feed(CHUNKED + b'GET / HTTP/1.1\r\n' + b'a:b\r\n' * 2000)
+    assert reader.read().request.target == '/2'
+    with pytest.raises(_http_reader.MalformedRequestError) as raised:
+        reader.read()
+    assert raised.value.status == 503
--- a/libs/admission/src/cactusloft_admission/_memory.py
+++ b/libs/admission/src/cactusloft_admission/_memory.py
@@ -129,6 +129,7 @@
     def __init__(self, budget):
         self._budget = budget
         self._long_head_bytes = 0
+        self._lines = 0
         self.size = 0
 
     def grow(self, size):
@@ -140,14 +141,15 @@
         return True
 
     def add_head(self, lines, head_bytes):
-        """Hold a head that is about to be decoded.
+        """Hold a head, or a part of it, that is about to be decoded.
 
         :param lines: number of its lines.
         :param head_bytes: its size as received.
         :returns: whether there is room.
         """
         size = lines * HEADER_LINE_BYTES + head_bytes
-        if lines <= MAX_ORDINARY_LINES:
+        self._lines += lines
+        if self._lines <= MAX_ORDINARY_LINES:
             return self.grow(size)
         if not self._budget.take_long_head(size):
             return False
