Hold the bytes of an arrival only if they have to wait

Cause: each request took and gave back its bytes twice, once as unparsed bytes and once as a request, and was copied into an array and out of it.

Change: bytes of one arrival are parsed from the object of the event loop; what is left of them after the parse is held. The lengths of header lines are counted only where a head is parsed behind a body. Status lines are built once.

--- a/daemon/src/cactusloftd/resident/_http_connection.py
+++ b/daemon/src/cactusloftd/resident/_http_connection.py
@@ -39,7 +39,10 @@
 # Statuses of the refusals that promise that the request has not run.
 TIMEOUT_STATUS, NO_MEMORY_STATUS = 408, 503
 _BODILESS = (204, 304)
-_REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
+_STATUS_LINES = {
+    status.value: f'HTTP/1.1 {status.value} {status.phrase}'
+    for status in http.HTTPStatus
+}
 
 
 @attrs.define(eq=False)
@@ -116,10 +119,13 @@
         self.progress.receive(len(data), self._loop.time())
         self._is_parsing = True
         try:
-            if self._reader.feed(data):
+            has_room = self._reader.feed(data)
+            if has_room:
                 self._start_requests()
-            else:
-                self._refuse(NO_MEMORY_STATUS, 'no memory for the request')
+                # Those that are read only after earlier responses.
+                has_room = self._is_closing or self._reader.hold_unread()
+            if not has_room:
+                self._refuse(NO_MEMORY_STATUS, _http_reader.NO_MEMORY)
         finally:
             self._is_parsing = False
 
@@ -268,8 +274,6 @@
         except _http_reader.MalformedRequestError as error:
             self._refuse(error.status, error.detail)
             return None
-        if received is not None:
-            self._restart_progress()
         if self._reader.is_upgraded:
             self._stop_reading()
         return received
@@ -416,7 +420,7 @@
     :param length: body size in bytes, None for chunked encoding.
     :param is_last: whether the connection is closed after it.
     """
-    lines = [f'HTTP/1.1 {status} {_REASON_PHRASES.get(status, "Unknown")}']
+    lines = [_STATUS_LINES.get(status) or f'HTTP/1.1 {status} Unknown']
     lines += [f'{name}: {value}' for name, value in headers]
     if status not in _BODILESS:
         if length is None:
--- a/daemon/src/cactusloftd/resident/_http_reader.py
+++ b/daemon/src/cactusloftd/resident/_http_reader.py
@@ -29,6 +29,8 @@
 MAX_EMPTY_BYTES = 64
 # A body up to this size is copied to have the exact size.
 SMALL_BODY_BYTES = 64 * 1024
+NO_MEMORY = 'no memory for the request'
+_LINE_ENDS = b'\r\n'
 _HEAD_END = re.compile(rb'\n\r?\n')
 _HEAD_END_BYTES = 3
 
@@ -45,7 +47,7 @@
     detail: str
 
 
-@attrs.frozen
+@attrs.define
 class ReceivedRequest:
     """A whole request.
 
@@ -75,7 +77,8 @@
         self._read_time = read_time
         self._on_continue = on_continue
         self._parser = httptools.HttpRequestParser(self)
-        self._unread = bytearray()
+        # The bytes object of one arrival, or a bytearray of several.
+        self._unread = b''
         self._unread_hold = budget.make_hold()
         self._parsed_bytes = 0
         # End, in bytes since the first one, and time of each arrival.
@@ -104,15 +107,28 @@
         return bool(self._unread) or self._has_begun
 
     def feed(self, data):
-        """Keep received bytes if there is memory for them; tell whether."""
-        if not self._unread_hold.grow(len(data)):
-            return False
-        self._unread += data
+        """Keep received bytes if there is memory for them; tell whether.
+
+        Those of one arrival are held only once they have to wait.
+        """
+        unread = self._unread
+        if not unread:
+            self._unread = data
+        elif isinstance(unread, bytearray):
+            unread += data
+        else:
+            self._unread = bytearray(unread)
+            self._unread += data
         if len(self._arrivals) == MAX_KEPT_ARRIVALS:
             self._arrivals.pop()
         end = self._parsed_bytes + len(self._unread)
         self._arrivals.append((end, self._read_time()))
-        return True
+        return not unread or self.hold_unread()
+
+    def hold_unread(self):
+        """Hold the bytes that are not parsed; tell whether there is room."""
+        size = len(self._unread) - self._unread_hold.size
+        return size <= 0 or self._unread_hold.grow(size)
 
     def read(self):
         """Return the next :class:`ReceivedRequest`, None without a whole one.
@@ -122,10 +138,14 @@
         while not self._finished:
             if self._error is not None:
                 raise self._error
+            if not self._unread:
+                return None
             try:
                 has_progress = (
                     self._read_body() if self._has_head else self._read_head()
                 )
+                if not has_progress and not self.hold_unread():
+                    raise MalformedRequestError(503, NO_MEMORY)
             except MalformedRequestError as error:
                 self._error = error
                 continue
@@ -135,7 +155,7 @@
 
     def release(self):
         """Forget all bytes and give their memory back."""
-        self._unread = bytearray()
+        self._unread = b''
         self._unread_hold.release()
         self._hold.release()
         self._body = bytearray()
@@ -151,14 +171,16 @@
 
     def on_url(self, data):
         """Append to the request target."""
-        self._add_head_bytes(len(data), 0)
+        if self._is_parsing_body:
+            self._add_head_bytes(len(data), 0)
         self._target += data
 
     def on_header(self, name, value):
         """Store one header line; those behind a body are ignored."""
         if self._has_head:
             return
-        self._add_head_bytes(len(name) + len(value), 1)
+        if self._is_parsing_body:
+            self._add_head_bytes(len(name) + len(value), 1)
         self._headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self):
@@ -206,7 +228,7 @@
     def _find_arrival(self):
         """Return the time at which the last parsed byte arrived."""
         arrivals = self._arrivals
-        while len(arrivals) > 1 and arrivals[0][0] < self._parsed_bytes:
+        while arrivals[0][0] < self._parsed_bytes and len(arrivals) > 1:
             arrivals.popleft()
         return arrivals[0][1]
 
@@ -224,7 +246,8 @@
 
     def _read_head(self):
         """Parse a head that is complete; tell whether there was one."""
-        self._skip_empty_lines()
+        if not self._has_begun and self._unread[0] in _LINE_ENDS:
+            self._skip_empty_lines()
         unread = self._unread
         found = _HEAD_END.search(unread, self._searched_bytes)
         size = found.end() if found else len(unread)
@@ -237,15 +260,15 @@
         if not self._hold.add_head(lines, size):
             raise MalformedRequestError(503, 'no memory for the head')
         self._searched_bytes = 0
+        # Those of a head that the parser does not end here.
+        self._head_bytes += size
         self._parse(self._take_unread(size))
         return True
 
     def _skip_empty_lines(self):
-        """Drop line ends before the request line."""
+        """Drop the line ends before a request line."""
         unread = self._unread
-        if self._has_begun or not unread or unread[0] not in b'\r\n':
-            return
-        rest = unread.lstrip(b'\r\n')
+        rest = unread.lstrip(_LINE_ENDS)
         skipped = len(unread) - len(rest)
         self._empty_bytes += skipped
         if self._empty_bytes > MAX_EMPTY_BYTES:
@@ -273,13 +296,19 @@
 
     def _take_unread(self, size):
         """Remove and return the first bytes that are not parsed yet."""
-        data = bytes(self._unread[:size])
-        # Clearing also frees what the array has allocated beyond its size.
-        if size == len(self._unread):
-            self._unread.clear()
+        unread = self._unread
+        if size == len(unread):
+            # An array has allocated more than its size.
+            self._unread = b''
+            data = bytes(unread)
         else:
-            del self._unread[:size]
-        self._unread_hold.shrink(size)
+            data = bytes(unread[:size])
+            if isinstance(unread, bytes):
+                unread = self._unread = bytearray(unread)
+            del unread[:size]
+        excess = self._unread_hold.size - len(self._unread)
+        if excess > 0:
+            self._unread_hold.shrink(excess)
         self._parsed_bytes += size
         return data
 
@@ -297,11 +326,12 @@
             raise MalformedRequestError(400, type(error).__name__) from None
 
     def _add_head_bytes(self, size, lines):
+        """Hold a part of a head that is parsed with the body before it.
+
+        Any other head is held before it is parsed.
+        """
         self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise MalformedRequestError(431, 'head too large')
-        # The hold of any other head was extended before it was parsed.
-        if self._is_parsing_body and not self._hold.add_head(lines, size):
+        if not self._hold.add_head(lines, size):
             raise MalformedRequestError(503, 'no memory for the head')
 
 
--- a/libs/admission/src/cactusloft_admission/_memory.py
+++ b/libs/admission/src/cactusloft_admission/_memory.py
@@ -79,6 +79,7 @@
 
     def __init__(self, total_bytes):
         self._total_bytes = total_bytes
+        self._large_limit = LARGE_SHARE * total_bytes
         self._long_head_bytes = 0
         self.held_bytes = 0
         self.refused = 0
@@ -90,8 +91,7 @@
 
     def take(self, size, is_large):
         """Reserve bytes; tell whether there is room."""
-        share = LARGE_SHARE if is_large else 1.0
-        limit = share * self._total_bytes
+        limit = self._large_limit if is_large else self._total_bytes
         while self.held_bytes + size > limit:
             if not self.make_room():
                 self.refused += 1
@@ -126,6 +126,8 @@
     :ivar size: bytes held.
     """
 
+    __slots__ = '_budget', '_lines', '_long_head_bytes', 'size'
+
     def __init__(self, budget):
         self._budget = budget
         self._long_head_bytes = 0
@@ -134,10 +136,10 @@
 
     def grow(self, size):
         """Hold more bytes; tell whether there is room."""
-        is_large = self.size + size > SMALL_REQUEST_BYTES
-        if not self._budget.take(size, is_large):
+        new_size = self.size + size
+        if not self._budget.take(size, new_size > SMALL_REQUEST_BYTES):
             return False
-        self.size += size
+        self.size = new_size
         return True
 
     def add_head(self, lines, head_bytes):
