--- a/libs/admission/src/cactusloft_admission/_memory.py
+++ b/libs/admission/src/cactusloft_admission/_memory.py
@@ -79,6 +79,7 @@
 
     def __init__(self, total_bytes):
         self._total_bytes = total_bytes
+        self._large_limit = LARGE_SHARE * total_bytes
         self._long_head_bytes = 0
         self.held_bytes = 0
         self.refused = 0
@@ -90,8 +91,7 @@
 
     def take(self, size, is_large):
         """Reserve bytes; tell whether there is room."""
-        share = LARGE_SHARE if is_large else 1.0
-        limit = share * self._total_bytes
+        limit = self._large_limit if is_large else self._total_bytes
         while self.held_bytes + size > limit:
             if not self.make_room():
                 self.refused += 1
@@ -126,28 +126,32 @@
     :ivar size: bytes held.
     """
 
+    __slots__ = '_budget', '_lines', '_long_head_bytes', 'size'
+
     def __init__(self, budget):
         self._budget = budget
         self._long_head_bytes = 0
+        self._lines = 0
         self.size = 0
 
     def grow(self, size):
         """Hold more bytes; tell whether there is room."""
-        is_large = self.size + size > SMALL_REQUEST_BYTES
-        if not self._budget.take(size, is_large):
+        new_size = self.size + size
+        if not self._budget.take(size, new_size > SMALL_REQUEST_BYTES):
             return False
-        self.size += size
+        self.size = new_size
         return True
 
     def add_head(self, lines, head_bytes):
-        """Hold a head that is about to be decoded.
+        """Hold a head, or a part of it, that is about to be decoded.
 
         :param lines: number of its lines.
         :param head_bytes: its size as received.
         :returns: whether there is room.
         """
         size = lines * HEADER_LINE_BYTES + head_bytes
-        if lines <= MAX_ORDINARY_LINES:
+        self._lines += lines
+        if self._lines <= MAX_ORDINARY_LINES:
             return self.grow(size)
         if not self._budget.take_long_head(size):
             return False
