--- a/daemon/src/cactusloftd/_calls.py
+++ b/daemon/src/cactusloftd/_calls.py
@@ -70,6 +70,7 @@
     :ivar is_caused_below: whether a nested call of the run failed.
     :ivar leaving_process: :class:`registry.BackendProcess` that responded, if
         it is about to leave, else None.
+    :ivar owner: name of the owner whose backend server responded.
     :ivar ends_at: time of the event loop in seconds by which the client must
         have the whole body, else it is cut; None for no limit.
     """
@@ -82,6 +83,7 @@
     is_replayed: bool = False
     is_caused_below: bool = False
     leaving_process: object = None
+    owner: str = ''
     ends_at: float | None = None
 
 
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -285,7 +285,7 @@
             attempt.start_send(name)
             outcome = await runner.run(attempt.make_call_to_send())
             attempt.is_in_flight = False
-            self._record_run(call, name, outcome)
+            self._record_run(call, name, outcome, runner.work)
             attempt.record_outcome(name, runner, outcome)
             self._placing.record(call.context.service, _is_full(outcome))
             if not self._may_resend(attempt, outcome):
@@ -334,10 +334,11 @@
             return True
         return local_s < MAX_LOCAL_SLOWDOWN * remote_s
 
-    def _record_run(self, call, name, outcome):
+    def _record_run(self, call, name, outcome, work=None):
         service = call.context.service
         if isinstance(outcome, result.Success):
             response = outcome.unwrap()
+            response.owner = name
             is_failed = response.status >= 500 and not response.is_caused_below
         else:
             error = outcome.failure()
@@ -351,6 +352,7 @@
                 kind=error.kind.value,
                 not_run=error.effective_not_run.value,
                 detail=error.detail,
+                **_placing.describe_work(work),
             )
         self._members.record_outcome(service, name, is_failed)
 
@@ -437,6 +439,7 @@
             service=context.service,
             route=call.route,
             status=response.status,
+            owner=response.owner,
             after_ms=round((self._now() - arrived_at) * 1000),
         )
 
--- a/daemon/src/cactusloftd/resident/_placing.py
+++ b/daemon/src/cactusloftd/resident/_placing.py
@@ -18,6 +18,19 @@
 NO_OFFERS_SHARE = 0.85
 
 
+def describe_work(report):
+    """Return the log fields for what an owner told of its work.
+
+    :param report: :class:`work.WorkReport`, or None.
+    """
+    if report is None:
+        return {}
+    return {
+        'start_delay_ms': report.start_delay_ms,
+        'slowness': report.slowness,
+    }
+
+
 class Placing:
     """What an entry has observed of the owners of each service."""
 
--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -78,6 +78,8 @@
     :ivar load: calls per slot that it reports; from 1 on it has no free slot.
     """
 
+    work = None
+
     def __init__(self, name, outcome, load=0.0):
         self.load = load
         self.name = name
--- a/libs/placement/src/cactusloft_placement/_choice.py
+++ b/libs/placement/src/cactusloft_placement/_choice.py
@@ -19,6 +19,8 @@
 # Time constant with which the delay told by one member loses its weight
 # against that of its data centre.
 DELAY_RETENTION_S = 0.3
+# Longer delays are treated as this one: no call waits for longer.
+MAX_DELAY_S = 10.0
 # Weight of the newest report in the delay of a data centre.
 DELAY_SMOOTHING = 0.3
 # The delay of another data centre is believed for this time. A call then asks
@@ -158,8 +160,9 @@
         :param now: monotonic seconds.
         """
         work = self._members.get(name)
-        if work is None or not 0.0 <= start_delay_s < math.inf:
+        if work is None or not start_delay_s >= 0.0:
             return
+        start_delay_s = min(start_delay_s, MAX_DELAY_S)
         self._reported_at = now
         work.speed.record_figure(slowness, now)
         work.delay_s, work.load = start_delay_s, load
@@ -224,7 +227,9 @@
         delay_s += task.urgency * extra_s
         if work.data_centre != self._data_centre:
             delay_s += self._find_data_centre(work.data_centre).distance_s
-        return delay_s
+        # What is left of old reports decides nothing: nearly equal members
+        # tie, and their random order decides.
+        return round(delay_s, 3)
 
     def _compute_duration(self, work, cost_s, now):
         usual_s = cost_s * work.speed.standing
