--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -81,7 +81,7 @@
             context = attrs.evolve(call.context, is_repeat=True)
             call = attrs.evolve(call, context=context)
         if self.is_offer:
-            call = attrs.evolve(call, needs_free_slot=True)
+            call = call.make_offer()
         if waited_s >= MIN_COUNTED_WAIT_S:
             patience_s = max(MIN_PATIENCE_S, call.patience_s - waited_s)
             call = attrs.evolve(call, patience_s=patience_s)
--- a/daemon/src/cactusloftd/resident/protocol.py
+++ b/daemon/src/cactusloftd/resident/protocol.py
@@ -7,7 +7,8 @@
 from cactusloftd import _calls
 
 
-@attrs.frozen
+# Without slots, a frozen class takes half the time to create.
+@attrs.frozen(slots=False)
 class Request:
     """One attempt of a caller to get a request served.
 
@@ -86,7 +87,7 @@
     slowness: float | None = None
 
 
-@attrs.frozen
+@attrs.frozen(slots=False)
 class ResponseMetadata:
     """Metadata from the head of a backend server's response.
 
