Charge tokens that were used without a leader to its bucket

Each contact renewed the tokens for an outage, and the bucket of the same leader was refilled for the time in which hosts used their shares of it.

Change: a debit tells how many tokens its holder used without contact and for how long; the bucket takes those that were used since it was created. Outage tokens are renewed 5 s after the last of them was used.

--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -305,6 +305,8 @@
             bucket = self._buckets[account.name] = quota.CentralBucket(
                 account.rate, account.burst, self._leadership.started_at, now
             )
+        if debit.borrowed:
+            bucket.charge_borrowed(debit.borrowed, debit.borrowed_s, now)
         debited = bucket.debit(holder, debit.wanted, debit.returned, now)
         return quota.AccountGrant(account.name, *debited, bucket.level)
 
--- a/libs/quota/src/cactusloft_quota/_debits.py
+++ b/libs/quota/src/cactusloft_quota/_debits.py
@@ -45,11 +45,15 @@
 
     :ivar wanted: tokens for waiting and expected calls.
     :ivar returned: tokens of earlier debits that were not used.
+    :ivar borrowed: tokens used without contact since the last debit.
+    :ivar borrowed_s: seconds since the first of them was used.
     """
 
     client_account: str
     wanted: int
     returned: int
+    borrowed: int = 0
+    borrowed_s: float = 0.0
 
 
 @attrs.frozen
@@ -93,6 +97,7 @@
         self._former_limits = collections.deque()
         self._rate = rate
         self._burst = burst
+        self._since = since
         self._level = 1.0
         self._refilled_at = since
         self._demands = {}
@@ -130,7 +135,7 @@
         self._refill(now)
         self._level = min(self._burst, self._level + returned)
         share = self._record_demand(holder, wanted, now)
-        tokens = min(wanted, math.floor(self._level))
+        tokens = max(0, min(wanted, math.floor(self._level)))
         self._level -= tokens
         retry_after_s = 0.0
         if tokens < wanted:
@@ -140,6 +145,19 @@
             )
         return tokens, share, retry_after_s
 
+    def charge_borrowed(self, borrowed, borrowed_s, now):
+        """Take tokens that a holder used without contact.
+
+        The bucket was not refilled before it was created, so only the part
+        that was used since then is taken. The level may become negative.
+
+        :param borrowed_s: seconds since the first of them was used.
+        """
+        age_s = max(0.0, now - self._since)
+        share = 1.0 if age_s >= borrowed_s else age_s / borrowed_s
+        self._refill(now)
+        self._level -= share * borrowed
+
     def _apply_limits(self):
         """Use the highest of the present limits and the former ones."""
         usable = [self._limits, *(f[:2] for f in self._former_limits)]
@@ -190,11 +208,15 @@
         self._spare_tokens = 0.0
         self._max_spare_tokens = 0.0
         self._spare_refilled_at = now
+        # Tokens used without contact that the bucket has not been told of.
+        self._borrowed = 0
+        self._borrowed_since = now
         # Contacts after which the share and the outage tokens were rounded,
         # and the outage tokens that are left.
         self._share_rounded_since = None
         self._outage_tokens_since = None
         self._outage_tokens = 0
+        self._outage_token_used_at = float('-inf')
 
     @property
     def held(self):
@@ -222,10 +244,14 @@
         self._return_unused(now)
         self._measure_demand(now)
         expected = int(self._demand * PREFETCH_S) if waiting else 0
-        if not waiting and not self._returned:
+        if not waiting and not self._returned and not self._borrowed:
             return None
         debit = AccountDebit(
-            client_account, waiting + expected, self._returned
+            client_account,
+            waiting + expected,
+            self._returned,
+            self._borrowed,
+            now - self._borrowed_since if self._borrowed else 0.0,
         )
         self._returned = 0
         return debit
@@ -237,6 +263,7 @@
         :returns: number of tokens for these calls.
         """
         self._last_contact_at = now
+        self._borrowed = 0
         self._share = grant.share
         used = min(grant.tokens, waiting)
         self._tokens += grant.tokens - used
@@ -276,6 +303,7 @@
         if self._spare_tokens < 1.0:
             return False
         self._spare_tokens -= 1.0
+        self._borrow(now)
         return True
 
     def has_share(self, contact_at):
@@ -290,7 +318,8 @@
         """Take a token of an account that was not short at the last contact.
 
         A holder that knows its share uses that share first, and here only
-        what the operators tolerate beyond rate and burst.
+        what the operators tolerate beyond rate and burst. They count windows,
+        so several outages in one window have the tokens of one.
 
         :param limits: rate in tokens per second and burst in tokens.
         :param holders: number of holders at the last contact.
@@ -301,7 +330,10 @@
         """
         if now - contact_at > FALLBACK_S:
             return False
-        if self._outage_tokens_since != contact_at:
+        is_new_outage = self._outage_tokens_since != contact_at
+        if is_new_outage and (
+            now - self._outage_token_used_at >= _outage.WINDOW_S
+        ):
             self._outage_tokens_since = contact_at
             share = 0.0 if self.has_share(contact_at) else FALLBACK_SHARE
             tokens = _outage.compute_outage_tokens(
@@ -311,11 +343,20 @@
         if not self._outage_tokens:
             return False
         self._outage_tokens -= 1
+        self._outage_token_used_at = now
+        self._borrow(now)
         return True
 
     def is_idle(self):
         """Tell whether there are no tokens, no returns and no recent calls."""
-        return not self._tokens and not self._returned and not self._arrivals
+        return not (
+            self._tokens or self._returned or self._borrowed or self._arrivals
+        )
+
+    def _borrow(self, now):
+        if not self._borrowed:
+            self._borrowed_since = now
+        self._borrowed += 1
 
     def _return_unused(self, now):
         if self._tokens and now - self._granted_at > MAX_TOKEN_AGE_S:
