Keep calls near while members are new

Cause: at first use all members are new, and the penalty for a slow start sent calls to other data centres with a single call in flight.

Change: a new member is avoided for what it holds beyond its share of slots. Pressure is left out, as the told delay covers it.

--- a/daemon/tests/resident/test_placing_by_work.py
+++ b/daemon/tests/resident/test_placing_by_work.py
@@ -94,5 +94,21 @@
             delay_s = 0.0 if number == 3 else 0.3
             chooser.record_report(member.name, delay_s, 1.0, 1.0, 0.0)
         call = replay.PlacedCall('lookup', 1.5, 0.2, None, 0.0)
-        first.append(chooser.choose(members, call, lambda name: 0.0, 0.0).name)
+        first.append(
+            chooser.choose(members, call, lambda member: 0.0, 0.0).name
+        )
     assert 10 < first.count('m3') < 40
+
+
+def test_calls_stay_near_at_first_use():
+    """All members are new then; a few calls of one entry fill none."""
+    members = [replay.make_member(f'm{n}', f'z{n % 2}', 40) for n in range(6)]
+    policy = placement.WorkChooser('z0', random.Random(1))
+    chooser = choice.Chooser('z0', random.Random(1), policy)
+    chooser.update(members, 0.0)
+    chooser.policy.record_report('m0', 0.0, 1.0, 0.1, 0.0)
+    call = replay.PlacedCall('read', 1.0, 0.015, None, 0.0)
+    for number in range(8):
+        chosen = chooser.choose(number / 10, (), call)
+        assert chosen.data_centre == 'z0'
+        chooser.begin(chosen.name)
--- a/libs/membership/src/cactusloft_membership/_choice.py
+++ b/libs/membership/src/cactusloft_membership/_choice.py
@@ -103,7 +103,7 @@
 
         :param members: :class:`Registration` of each usable member.
         :param call: has ``route`` and ``patience_s``.
-        :param find_penalty: function(name) that returns the load to add for
+        :param find_penalty: function(member) that returns the load to add for
             reasons other than work, such as failed calls.
         """
 
@@ -185,7 +185,7 @@
             return self._policy.choose(
                 usable,
                 call,
-                lambda name: self._compute_penalty(self._states[name], now),
+                lambda member: self._compute_penalty(member, now),
                 now,
             )
         # In random order, so that the first acceptable members are a random
@@ -278,14 +278,16 @@
     def _is_policy_active(self, now):
         return self._policy is not None and self._policy.is_active(now)
 
-    def _compute_penalty(self, state, now):
-        """Return the load to add for failures, pressure and a slow start."""
-        penalty = PRESSURE_WEIGHT * self._find_recent_pressure(state, now)
+    def _compute_penalty(self, member, now):
+        """Return the load to add for failures and a slow start."""
+        state = self._states[member.name]
+        penalty = 0.0
         if state.failure_share > MIN_FAILURE_SHARE:
-            penalty += FAILURE_WEIGHT * state.failure_share
+            penalty = FAILURE_WEIGHT * state.failure_share
         share = compute_slow_start_share(now - state.first_seen_at)
         if share < 1.0:
-            penalty += state.in_flight * (1.0 / share - 1.0)
+            slots = max(1.0, share * member.slots)
+            penalty += max(0.0, (state.in_flight + 1) / slots - 1.0)
         return penalty
 
     def _is_local_choice(self, member, now):
--- a/libs/placement/src/cactusloft_placement/_choice.py
+++ b/libs/placement/src/cactusloft_placement/_choice.py
@@ -124,7 +124,7 @@
         :param members: usable members.
         :param call: has ``route`` and ``patience_s``, the seconds after which
             the caller has little use for the response, 0 if unknown.
-        :param find_penalty: function(name) that returns the load to add for
+        :param find_penalty: function(member) that returns the load to add for
             reasons other than work, such as failed calls.
         :param now: monotonic seconds.
         """
@@ -209,7 +209,7 @@
         count = min(CANDIDATES, len(members))
         for member in self._random.sample(members, count):
             delay_s = self._estimate_delay(member, task)
-            delay_s += PENALTY_S * find_penalty(member.name)
+            delay_s += PENALTY_S * find_penalty(member)
             if delay_s < best_s:
                 best, best_s = member, delay_s
         return best, best_s
--- a/libs/placement/tests/test_choice.py
+++ b/libs/placement/tests/test_choice.py
@@ -45,7 +45,10 @@
     """Return how often each member is chosen in 40 calls."""
     return collections.Counter(
         chooser.choose(
-            members, call, lambda name: dict(penalties).get(name, 0.0), now
+            members,
+            call,
+            lambda member: dict(penalties).get(member.name, 0.0),
+            now,
         ).name
         for _ in range(40)
     )
@@ -131,7 +134,7 @@
     """A lost data centre must not make calls fail."""
     chooser = make_chooser(A, FAR)
     assert count_choices(chooser, [FAR]) == {'far': 40}
-    assert chooser.choose([], TIGHT, lambda name: 0.0, 0.0) is None
+    assert chooser.choose([], TIGHT, lambda member: 0.0, 0.0) is None
 
 
 def test_old_delay_of_a_data_centre_is_asked_anew():
