Report work of all services once one service tells its slowness

Change: a daemon that receives a report of work makes its own owner report, with a slowness of 1 if the backend server tells none. No owner reports in a deployment where no backend server tells a slowness.

--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -45,6 +45,7 @@
         server when the home knows that it has announced its departure.
     :ivar on_call: function called when a call to a member begins.
     :ivar on_call_end: function called when it is no longer in flight.
+    :ivar on_work_report: function called when an owner reports its work.
     """
 
     def __init__(self, node, control_hosts, make_registration, view, now):
@@ -68,6 +69,7 @@
         self.on_report_due = lambda: None
         self.on_departure = lambda process: None
         self.on_call = self.on_call_end = lambda: None
+        self.on_work_report = lambda: None
 
     def list_members(self):
         """Return the registrations of the services in use."""
@@ -285,6 +287,7 @@
             self.record_departure,
             self.on_call,
             self.on_call_end,
+            self.on_work_report,
         )
 
     def connect(self, member):
@@ -314,6 +317,7 @@
         record_departure,
         on_call,
         on_call_end,
+        on_work_report,
     ):
         self._name = member.name
         self._peer = peer
@@ -323,6 +327,7 @@
         self._record_departure = record_departure
         self._on_call = on_call
         self._on_call_end = on_call_end
+        self._on_work_report = on_work_report
 
     @property
     def load(self):
@@ -392,6 +397,7 @@
         policy, report = self._chooser.policy, self._owner.work
         if policy is None:
             return
+        self._on_work_report()
         slowness = report.slowness / 100
         policy.record_report(
             self._name,
--- a/daemon/src/cactusloftd/resident/_backlog.py
+++ b/daemon/src/cactusloftd/resident/_backlog.py
@@ -91,15 +91,16 @@
         cost_s = self._times.expect(call.route)
         return work.estimate_end(report, cost_s)
 
-    def make_report(self, slots, has_capacity):
+    def make_report(self, slots, has_capacity, is_asked=False):
         """Return the :class:`work.WorkReport` for entries.
 
-        None if the backend server does not report how long work takes.
+        None if the backend server does not report how long work takes, unless
+        it is asked for.
 
         :param slots: number of calls that may run at once.
         :param has_capacity: whether a call would start at once.
         """
-        if not self._speed.has_figure:
+        if not self._speed.has_figure and not is_asked:
             return None
         now = self._now()
         slowness = self._speed.compute_slowness(now)
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -101,6 +101,7 @@
         self._loss_id = ''
         self._times = _service_times.ServiceTimes()
         self._backlog = _backlog.Backlog(self._times, now)
+        self._is_reporting_work = False
         self._running = {}
         self._is_stopping = False
         self.on_change = lambda: None
@@ -173,9 +174,19 @@
         if self._gate is None:
             return None
         return self._backlog.make_report(
-            self._gate.admission.compute_limit(), self._gate.has_capacity
+            self._gate.admission.compute_limit(),
+            self._gate.has_capacity,
+            self._is_reporting_work,
         )
 
+    def begin_work_reports(self):
+        """Report work even if the backend server tells no slowness.
+
+        Called once an owner of another service reports its work: entries
+        compare all services of a deployment in the same way.
+        """
+        self._is_reporting_work = True
+
     def estimate_end(self, call):
         """Return the seconds until the end of a call that waits here.
 
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -378,6 +378,7 @@
         )
         members.on_report_due = self._registration_changed.set
         members.on_departure = self._owner.handle_departure
+        members.on_work_report = self._owner.begin_work_reports
         members.find_home = plane.watcher.find_home
         for name, user in (
             (_registrations.TABLE, members),
--- a/daemon/tests/resident/test_backlog.py
+++ b/daemon/tests/resident/test_backlog.py
@@ -44,6 +44,13 @@
     assert backlog.estimate_end(CALL, None) is None
 
 
+def test_work_is_reported_once_another_service_does():
+    """Calls to a service without the figure crossed between data centres."""
+    backlog, _ = make_backlog()
+    report = backlog.make_report(4, True, is_asked=True)
+    assert report == work.WorkReport(0, 100)
+
+
 def test_cost_is_measured_apart_from_the_spell():
     """Calls that ran in a spell must not count as dearer afterwards."""
     backlog, clock = make_backlog()
