Evacuate data centres on an operator's order

Cause: an operator had no way to keep calls off a whole data centre; the calls Evacuations.Begin and Evacuations.End of the platform got 404.

Change: the replicated store keeps the set of evacuated data centres beside the document, whose text and version stay as they are. The set travels with the watch under the freshness rules of the document. The owner refuses new calls as not run while its data centre is evacuated, and entries do not choose its members.

--- a/daemon/src/cactusloftd/_control.py
+++ b/daemon/src/cactusloftd/_control.py
@@ -11,6 +11,7 @@
 from returns import pipeline
 
 from cactusloft_consensus import documents
+from cactusloft_consensus import evacuations
 from cactusloft_consensus import messages as consensus_messages
 from cactusloft_consensus import node as consensus_node
 from cactusloft_consensus import replica as consensus_replica
@@ -19,6 +20,7 @@
 from cactusloft_model import errors
 from cactusloft_model import events
 from cactusloftd import _calls
+from cactusloftd import _evacuation_messages
 from cactusloftd import _messages
 
 SEND_TIMEOUT_S = 1.0
@@ -38,7 +40,10 @@
 
 @attrs.frozen
 class Applied:
-    """Reply to an accepted change."""
+    """Reply to an accepted change.
+
+    :ivar version: that of the document, or the revision of the evacuations.
+    """
 
     version: int
 
@@ -111,8 +116,8 @@
     :param now: function that returns monotonic seconds.
     :param on_change: function called when the document may have changed.
     :raises storage.StorageError: when the data folder cannot be used.
-    :ivar wait_until_installed: coroutine function(version) called before an
-        accepted change is acknowledged.
+    :ivar wait_until_installed: coroutine function(version,
+        evacuation_revision) called before an accepted change is acknowledged.
     """
 
     def __init__(self, settings, peer_node, log, parser, now, on_change):
@@ -198,6 +203,8 @@
         """
         if isinstance(request, _messages.ApplyRequest):
             return await self._apply(request)
+        if isinstance(request, _evacuation_messages.EvacuationRequest):
+            return await self._evacuate(request)
         # A leader that was suspended may have a successor and not know it yet.
         # What it knows is older than what the successor has acknowledged.
         confirmed = await self.replica.confirm(CONFIRM_TIMEOUT_S)
@@ -206,6 +213,8 @@
         store = self.replica.store
         if isinstance(request, _messages.HistoryRequest):
             return make_answer(store.list_revisions())
+        if isinstance(request, _evacuation_messages.EvacuationsRequest):
+            return make_answer(store.evacuations)
         if isinstance(request, _messages.ShowRequest):
             return make_answer(DocumentView(store.version, store.text))
         if request.address:
@@ -255,10 +264,9 @@
             )
 
     async def _apply(self, request):
-        if self._count_voters() < self._min_voters:
-            # A change stored on fewer disks could be lost with one of them.
-            detail = f'fewer than {self._min_voters} voters'
-            return self._refuse_change(request, _E.CONTROL_UNAVAILABLE, detail)
+        fault = self._find_voter_fault()
+        if fault:
+            return self._refuse_change(request, _E.CONTROL_UNAVAILABLE, fault)
         # Parse in a thread: parsing a new text may take longer than the
         # election timeout.
         parsed = await asyncio.to_thread(self._parser.parse, request.text)
@@ -289,9 +297,38 @@
         await self.wait_until_installed(applied.version)
         return make_answer(Applied(applied.version))
 
-    def _count_voters(self):
+    async def _evacuate(self, request):
+        """Begin or end an evacuation; the order may be a resent one."""
+        fault = self._find_voter_fault()
+        if fault:
+            return refuse_unavailable(fault)
+        order = evacuations.EvacuationOrder(
+            request.data_centre, request.is_begun
+        )
+        known = self.replica.store.evacuations.revision
+        outcome = await self.replica.apply(order, APPLY_TIMEOUT_S, None)
+        if not pipeline.is_successful(outcome):
+            return refuse(outcome.failure())
+        revision = outcome.unwrap().version
+        if revision > known:
+            self._log.record(
+                _V.EVACUATION_ORDERED,
+                data_centre=request.data_centre,
+                is_begun=request.is_begun,
+                revision=revision,
+            )
+        await self.wait_until_installed(evacuation_revision=revision)
+        return make_answer(Applied(revision))
+
+    def _find_voter_fault(self):
+        """Return why no change can be accepted, or an empty text.
+
+        A change stored on too few disks could be lost with one of them.
+        """
         members = self.replica.membership.members
-        return sum(member.is_voter for member in members)
+        if sum(member.is_voter for member in members) >= self._min_voters:
+            return ''
+        return f'fewer than {self._min_voters} voters'
 
     def _log_applied(self, change_id, outcome):
         is_accepted = outcome.kind is documents.OutcomeKind.ACCEPTED
@@ -338,7 +375,7 @@
         return _messages.MessageAck()
 
 
-async def _wait_for_none(_version):
+async def _wait_for_none(_version=0, evacuation_revision=0):
     """Acknowledge a change at once."""
 
 
--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -119,6 +119,22 @@
         self.watcher.attach(name, table.make_report, table.apply)
         self.server.attach(name, table)
 
+    def connect_evacuations(self, data_centre, owner, members):
+        """Make the owner and the choice of members follow the evacuations.
+
+        :param data_centre: that of this host.
+        :param owner: has ``is_evacuated`` and ``on_change``.
+        :param members: :class:`_members.Members`.
+        """
+        installed = self.installed
+
+        def is_evacuated():
+            return data_centre in installed.evacuations.data_centres
+
+        owner.is_evacuated = is_evacuated
+        installed.on_evacuation = owner.on_change
+        members.find_evacuated = lambda: installed.evacuations.data_centres
+
     def start(self):
         """Start the replica and the watch, and handle requests of peers."""
         self._node.handle_requests(_messages.Watch, self.server.handle_watch)
--- a/daemon/src/cactusloftd/_installed.py
+++ b/daemon/src/cactusloftd/_installed.py
@@ -1,4 +1,6 @@
-"""The document that this daemon has installed, and its confirmation.
+"""The document and evacuations that this daemon has installed.
+
+They come with a confirmation that they are current.
 
 A version is installed only if it is higher than the installed one and was
 confirmed after the start of the daemon. The second rule keeps a restarted
@@ -10,6 +12,7 @@
 import attrs
 from returns import pipeline
 
+from cactusloft_consensus import evacuations as evacuation_sets
 from cactusloft_model import document
 from cactusloft_model import events
 
@@ -54,12 +57,16 @@
 
     :ivar confirmed_at: monotonic seconds at which the document was last known
         to be current, or None.
+    :ivar evacuations: installed :class:`Evacuations`.
+    :ivar on_evacuation: function called when they have changed.
     """
 
     def __init__(self, log, now, keeps_versions):
         self.current = document.EMPTY_DOCUMENT
         self.version = NO_VERSION
         self.confirmed_at = None
+        self.evacuations = evacuation_sets.NO_EVACUATIONS
+        self.on_evacuation = lambda: None
         self._log = log
         self._now = now
         self._started_at = now()
@@ -100,7 +107,14 @@
             return None
         return kept.sections
 
-    def update(self, version, confirmed_at, make_document, source=''):
+    def update(
+        self,
+        version,
+        confirmed_at,
+        make_document,
+        source='',
+        evacuations=None,
+    ):
         """Install a version of a control host or replica, and confirm it.
 
         :param version: :class:`Version` in force there.
@@ -108,20 +122,39 @@
         :param make_document: function called if the version is to be
             installed; returns ``Success(Document)`` or ``Failure(faults)``.
         :param source: name of the control host, for the log.
-        :returns: whether a new version was installed.
+        :param evacuations: :class:`Evacuations` in force there, None if they
+            are those that are installed here.
+        :returns: whether a new version or revision was installed.
         """
         if confirmed_at is None or confirmed_at <= self._started_at:
             return False
+        has_evacuated = self._install_evacuations(evacuations, source)
         is_new = version.number > self.version.number
         if is_new and not self._install(version, make_document()):
             # The confirmation is for the version that could not be installed.
-            return False
+            return has_evacuated
         previous = self.confirmed_at or confirmed_at
         self.confirmed_at = max(previous, confirmed_at)
         if is_new:
             self._log_installed(confirmed_at, previous, source)
         self.is_fresh()
-        return is_new
+        return is_new or has_evacuated
+
+    def _install_evacuations(self, evacuations, source):
+        """Install the evacuations; tell whether they are newer."""
+        if evacuations is None:
+            return False
+        if evacuations.revision <= self.evacuations.revision:
+            return False
+        self.evacuations = evacuations
+        self._log.record(
+            _V.EVACUATIONS_INSTALLED,
+            revision=evacuations.revision,
+            data_centres=','.join(evacuations.data_centres),
+            source=source,
+        )
+        self.on_evacuation()
+        return True
 
     def _install(self, version, parsed):
         if not pipeline.is_successful(parsed):
--- a/daemon/src/cactusloftd/_members.py
+++ b/daemon/src/cactusloftd/_members.py
@@ -42,6 +42,8 @@
     :ivar on_report_due: function called when a report must be sent at once.
     :ivar on_departure: function called with the process of the local backend
         server when the home knows that it has announced its departure.
+    :ivar find_evacuated: function that returns the names of the data centres
+        whose members must not be chosen.
     :ivar on_call: function called when a call to a member begins.
     :ivar on_call_end: function called when it is no longer in flight.
     """
@@ -64,6 +66,7 @@
         self._acked_sequence = 0
         self._confirmed_departure = None
         self.find_home = lambda: None
+        self.find_evacuated = lambda: ()
         self.on_report_due = lambda: None
         self.on_departure = lambda process: None
         self.on_call = self.on_call_end = lambda: None
@@ -239,6 +242,10 @@
         """
         chooser = self._view.find_chooser(service)
         now = self._now()
+        evacuated = self.find_evacuated()
+        if evacuated:
+            left = (m for m in chooser.members if m.data_centre in evacuated)
+            excluded = {*excluded, *(member.name for member in left)}
         chosen = chooser.choose(now, excluded)
         if chosen is None or not self._is_suspect(chosen):
             return chosen
--- a/daemon/src/cactusloftd/_messages.py
+++ b/daemon/src/cactusloftd/_messages.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cactusloft_consensus import evacuations as evacuation_sets
 from cactusloft_membership import exchange
 from cactusloft_membership import registry
 from cactusloft_model import calls
@@ -12,6 +13,7 @@
 from cactusloft_model import errors
 import cactusloft_quota as quota
 from cactusloft_retry import marks as retry_marks
+from cactusloftd import _evacuation_messages
 from cactusloftd import _rate_messages
 from cactusloftd import _rollout_messages
 
@@ -293,6 +295,7 @@
     :ivar epoch: epoch of the control group that the daemon knows.
     :ivar leader: leader of the control group that the daemon knows.
     :ivar hold_ms: maximum time to wait for a change.
+    :ivar evacuation_revision: installed revision of the evacuations.
     """
 
     daemon: str
@@ -302,6 +305,7 @@
     leader: str
     hold_ms: int
     tables: tuple[TableRequest, ...]
+    evacuation_revision: int = 0
 
 
 @attrs.frozen
@@ -316,6 +320,8 @@
     :ivar base_version: version that ``changes`` apply to, 0 for none.
     :ivar changes: difference to ``version``, or None unless ``version`` is
         higher than that of the daemon.
+    :ivar evacuations: the evacuated data centres, or None unless their
+        revision is higher than that of the daemon.
     """
 
     version: int
@@ -326,6 +332,7 @@
     base_version: int
     changes: document.Changes | None
     tables: tuple[Table, ...]
+    evacuations: evacuation_sets.Evacuations | None = None
 
 
 @attrs.frozen
@@ -413,4 +420,6 @@
     51: _rate_messages.LeaseReply,
     52: quota.DebitRequest,
     53: _rate_messages.DebitReply,
+    58: _evacuation_messages.EvacuationRequest,
+    59: _evacuation_messages.EvacuationsRequest,
 }
--- a/daemon/src/cactusloftd/_operators.py
+++ b/daemon/src/cactusloftd/_operators.py
@@ -14,6 +14,7 @@
 from cactusloft_model import errors
 from cactusloftd import _control
 from cactusloftd import _control_hosts
+from cactusloftd import _evacuation_messages
 from cactusloftd import _messages
 
 # A change must be acknowledged within 4 s, also if five of eleven control
@@ -45,6 +46,8 @@
             _messages.HistoryRequest,
             _messages.ShowRequest,
             _messages.ReplicaChange,
+            _evacuation_messages.EvacuationRequest,
+            _evacuation_messages.EvacuationsRequest,
         ):
             self._node.handle_requests(message_class, self._handle)
 
@@ -52,7 +55,8 @@
         """Return the :class:`ControlReply` to a request.
 
         All requests are idempotent: a change has its change id, and adding or
-        removing a replica twice has no further effect.
+        removing a replica twice has no further effect, like an order for an
+        evacuation that is in force.
 
         :param timeout_s: seconds to wait for a leader; with 0, each control
             host is asked once.
--- a/daemon/src/cactusloftd/_owner.py
+++ b/daemon/src/cactusloftd/_owner.py
@@ -48,6 +48,7 @@
         self._runs = {}
         self._loss_id = ''
         self._is_stopping = False
+        self.is_evacuated = lambda: False
         self.on_change = lambda: None
 
     @property
@@ -58,7 +59,9 @@
     @property
     def is_serving(self):
         """Return whether the backend server accepts new calls."""
-        return not self._is_stopping and self._server.is_serving(self._now())
+        if self._is_stopping or self.is_evacuated():
+            return False
+        return self._server.is_serving(self._now())
 
     @property
     def is_leaving(self):
--- a/daemon/src/cactusloftd/_settings.py
+++ b/daemon/src/cactusloftd/_settings.py
@@ -51,6 +51,7 @@
     """All settings of a daemon.
 
     :ivar data_folder: folder of the control replica, empty without a replica.
+    :ivar data_centres: all data centres of the fleet, empty if unknown.
     :ivar least_voters: minimum number of voters for a change of the document.
     :ivar shutdown_grace_s: maximum wait for calls in flight at shutdown.
     """
@@ -67,6 +68,7 @@
     shutdown_grace_s: float
     log_level: str
     least_voters: int = 1
+    data_centres: tuple[str, ...] = ()
 
 
 def parse_settings(text):
--- a/daemon/src/cactusloftd/_watch.py
+++ b/daemon/src/cactusloftd/_watch.py
@@ -144,6 +144,7 @@
                 confirmed_at,
                 lambda: self._parser.parse(store.text),
                 self._name,
+                store.evacuations,
             )
         return self._now() - confirmed_at < MAX_REPLICA_AGE_S
 
@@ -213,7 +214,7 @@
             self._known_versions.get(table.name) == table.version
             for table in reply.tables
         )
-        is_outdated = reply.version > self._installed.version.number
+        is_outdated = answer.is_newer_than(self._installed)
         if self._installed.has_refused(reply.version):
             # All control hosts hold this version, so that no other one is
             # better. Each answer costs as much as the whole difference.
@@ -314,6 +315,7 @@
             leader=self.group.leader,
             hold_ms=int(times.hold_time_s * 1000),
             tables=tables,
+            evacuation_revision=self._installed.evacuations.revision,
         )
         base = self._installed.current
         # The time before sending is a lower bound, so that the confirmation
@@ -357,6 +359,7 @@
             confirmed_at,
             answer.patch_base,
             host.name,
+            reply.evacuations,
         )
         return self._now() - confirmed_at < _watch_times.MAX_HOME_AGE_S
 
@@ -386,8 +389,10 @@
             self._control_hosts.update_members(group.members)
             self._on_change()
 
-    def _install(self, version, confirmed_at, make_document, source):
+    def _install(
+        self, version, confirmed_at, make_document, source, evacuations
+    ):
         if self._installed.update(
-            version, confirmed_at, make_document, source
+            version, confirmed_at, make_document, source, evacuations
         ):
             self._on_change()
--- a/daemon/src/cactusloftd/_watch_answers.py
+++ b/daemon/src/cactusloftd/_watch_answers.py
@@ -21,6 +21,18 @@
     sent_at: float = 0.0
     base: document.Document = document.EMPTY_DOCUMENT
 
+    def is_newer_than(self, installed):
+        """Tell whether the control host has what is not installed here.
+
+        :param installed: :class:`_installed.InstalledDocument`.
+        """
+        evacuations = self.reply.evacuations
+        if evacuations is not None:
+            known = installed.evacuations.revision
+            if evacuations.revision > known:
+                return True
+        return self.reply.version > installed.version.number
+
     def patch_base(self):
         """Return the document that results from the reply, as a Result."""
         if self.reply.changes is None:
--- a/daemon/src/cactusloftd/_watch_server.py
+++ b/daemon/src/cactusloftd/_watch_server.py
@@ -60,7 +60,9 @@
         if watch.hold_ms:
             # A poll that isn't held, such as a probe, tells nothing about the
             # versions to come: the daemon may watch another control host.
-            self._versions.record(watch.daemon, watch.version)
+            self._versions.record(
+                watch.daemon, watch.version, watch.evacuation_revision
+            )
         deadline = received_at + min(watch.hold_ms / 1000, MAX_HOLD_TIME_S)
         while True:
             tables = self._exchange(watch)
@@ -81,12 +83,20 @@
     def _has_changed(self, watch):
         if self._installed.version.number > watch.version:
             return True
+        if self._find_evacuations(watch) is not None:
+            return True
         group = self._watcher.group
         # Without a confirmation, the daemon would ignore the group.
         is_confirmed = self._installed.is_fresh()
         known = watch.epoch, watch.leader
         return is_confirmed and known != (group.epoch, group.leader)
 
+    def _find_evacuations(self, watch):
+        """Return the evacuations, None if the daemon has them."""
+        evacuations = self._installed.evacuations
+        is_newer = evacuations.revision > watch.evacuation_revision
+        return evacuations if is_newer else None
+
     async def _wait(self, timeout_s):
         if self._changed is None:
             self._changed = asyncio.Event()
@@ -129,6 +139,7 @@
             base_version=base_version,
             changes=changes,
             tables=tables,
+            evacuations=self._find_evacuations(watch),
         )
 
     def _list_changes(self, watch):
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -102,6 +102,9 @@
         self._admin = self._make_admin()
         self._report_due = asyncio.Event()
         self._owner.on_change = self._report_due.set
+        self._plane.connect_evacuations(
+            settings.data_centre, self._owner, self._members
+        )
         self._attach_tables()
         self._entry = _entry.Entry(
             settings.name,
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -62,6 +62,8 @@
     :param log: :class:`events.EventLog`.
     :param metrics: :class:`_metrics.Metrics`.
     :param now: function that returns monotonic time in seconds.
+    :ivar is_evacuated: function that tells whether the data centre of this
+        host is evacuated, so that its backend server gets no new calls.
     :ivar on_change: function called when the registration has changed.
     :ivar on_other_departure: function called with a
         :class:`registry.BackendProcess` that announced its departure and is
@@ -100,6 +102,7 @@
         self._times = _service_times.ServiceTimes()
         self._running = {}
         self._is_stopping = False
+        self.is_evacuated = lambda: False
         self.on_change = lambda: None
         self.on_other_departure = lambda process: None
 
@@ -111,7 +114,9 @@
     @property
     def is_serving(self):
         """Tell whether new calls are accepted."""
-        return not self._is_stopping and self._state.is_serving(self._now())
+        if self._is_stopping or self.is_evacuated():
+            return False
+        return self._state.is_serving(self._now())
 
     @property
     def process(self):
--- a/daemon/src/cactusloftd/resident/_settings.py
+++ b/daemon/src/cactusloftd/resident/_settings.py
@@ -21,6 +21,7 @@
     data_folder,
     shutdown_grace_s,
     least_voters,
+    data_centres=(),
 ):
     """Return the :class:`_settings.Settings` of a resident.
 
@@ -34,6 +35,7 @@
         exited.
     :param least_voters: number of voters below which the control group accepts
         no change.
+    :param data_centres: all data centres of the fleet, empty if unknown.
     """
     return _settings.Settings(
         name=name,
@@ -48,4 +50,5 @@
         shutdown_grace_s=shutdown_grace_s,
         log_level='info',
         least_voters=least_voters,
+        data_centres=tuple(data_centres),
     )
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -17,9 +17,12 @@
 from cactusloft_membership import exchange
 from cactusloft_membership import registry
 from cactusloft_model import clock
+from cactusloft_model import errors
 from cactusloft_model import events
 import cactusloft_quota as quota
+from cactusloftd import _control
 from cactusloftd import _control_plane
+from cactusloftd import _evacuation_messages
 from cactusloftd import _exchanges
 from cactusloftd import _group
 from cactusloftd import _jobs
@@ -48,6 +51,9 @@
 RESTART_DELAY_S = 3.0
 # A document confirmed longer ago than this is not returned as the newest.
 MAX_READ_AGE_S = 1.0
+# An order is not carried out later than this: one that is delayed could undo
+# its successor, since orders have no versions.
+EVACUATION_TIMEOUT_S = 2.0
 # Resource in the metrics.
 MEMBER_CALL = 'member_call'
 _V = events.Event
@@ -166,6 +172,30 @@
             return True
         return await self._members.report_departure(self._owner.process)
 
+    async def evacuate(self, data_centre, is_begun):
+        """Ask the control group to begin or to end an evacuation.
+
+        :param data_centre: one of the settings.
+        :returns: :class:`_messages.ControlReply`.
+        """
+        known = self._settings.data_centres
+        if known and data_centre not in known:
+            return _control.refuse(
+                errors.CallError(
+                    errors.ErrorKind.BAD_REQUEST, 'unknown data centre'
+                )
+            )
+        request = _evacuation_messages.EvacuationRequest(
+            data_centre, is_begun, False
+        )
+        try:
+            async with asyncio.timeout(EVACUATION_TIMEOUT_S):
+                return await self._plane.operators.execute(
+                    request, EVACUATION_TIMEOUT_S
+                )
+        except TimeoutError:
+            return _control.refuse_unavailable('no control leader in time')
+
     def read_document(self):
         """Return the newest document text, or None if it may be outdated."""
         replica = self._plane.replica
@@ -356,6 +386,9 @@
         )
         self._owner.on_change = self._registration_changed.set
         self._owner.on_other_departure = members.record_departure
+        plane.connect_evacuations(
+            self._settings.data_centre, self._owner, members
+        )
         self._entry = _entry.Entry(
             self._settings,
             plane.installed,
--- a/daemon/tests/test_installed.py
+++ b/daemon/tests/test_installed.py
@@ -8,6 +8,7 @@
 import structlog
 
 from cactusloft_consensus import documents
+from cactusloft_consensus import evacuations
 from cactusloft_consensus import messages
 from cactusloft_consensus import node
 from cactusloft_model import clock
@@ -249,3 +250,46 @@
     assert owner.reports[0] == ('d1', b'report')
     assert answer.tables[0].content == b'content'
     assert answer.age_s is None, 'confirmed without a replica'
+
+
+def test_evacuations_are_installed_in_order(installed):
+    """An isolated control host must not undo the end of an evacuation."""
+    begun = evacuations.Evacuations(1, ('dc1',))
+    ended = evacuations.Evacuations(2, ())
+    changes = []
+    installed.on_evacuation = lambda: changes.append(installed.evacuations)
+
+    def update(confirmed_at, evacuated):
+        return installed.update(
+            _installed.NO_VERSION, confirmed_at, None, '', evacuated
+        )
+
+    assert not update(99.9, begun)
+    assert update(100.1, begun)
+    assert update(100.2, ended)
+    assert not update(100.3, begun)
+    assert not update(100.4, None)
+    assert changes == [begun, ended]
+
+
+def test_watch_gets_an_evacuation_at_once(server, replica, time_source):
+    """An order must end the hold time, since it is in force within 2 s."""
+
+    async def run():
+        watch = _messages.Watch('d1', 1, 'first', 5, 'r1', 2000, ())
+        waiting = asyncio.create_task(server.handle_watch(watch, 0.0))
+        await asyncio.sleep(0)
+        order = evacuations.EvacuationOrder('dc1', True)
+        replica.store.apply(order.encode())
+        server._watcher.install_from_replica()
+        return await asyncio.wait_for(waiting, 30)
+
+    replica.confirmed_at = time_source.now = 101.0
+    replica.change(TEXT, 'first')
+    server._watcher.install_from_replica()
+    answer = asyncio.run(run())
+    assert answer.evacuations.data_centres == ('dc1',)
+    assert (answer.version, answer.changes) == (1, None)
+    watch = _messages.Watch('d1', 1, 'first', 5, 'r1', 0, (), 1)
+    answer = asyncio.run(server.handle_watch(watch, 0.0))
+    assert answer.evacuations is None
--- a/daemon/tests/test_members.py
+++ b/daemon/tests/test_members.py
@@ -110,3 +110,20 @@
         return prepared.done()
 
     assert asyncio.run(call())
+
+
+def test_member_in_an_evacuated_data_centre_is_chosen():
+    """An order is in force for calls that follow, not for later tables."""
+    near = attrs.evolve(REGISTRATION, service='stock', is_serving=True)
+    far = attrs.evolve(near, name='d2', data_centre='dc2')
+    members = make_members(
+        choice.MembershipView('d0', 'dc1', random.Random(1))
+    )
+    members.on_report_due = lambda: None
+    asyncio.run(members.prepare('stock'))
+    members.apply_table(make_table(near, far, is_settled=True))
+    members.find_evacuated = lambda: ('dc1',)
+    assert members.choose('stock', set()) == far
+    assert members.choose('stock', {'d2'}) is None
+    members.find_evacuated = lambda: ('dc1', 'dc2')
+    assert members.choose('stock', set()) is None
--- a/daemon/tests/test_rollout.py
+++ b/daemon/tests/test_rollout.py
@@ -135,3 +135,20 @@
 
     asyncio.run(run())
     assert len(queries) == 1
+
+
+def test_acknowledgement_ignores_a_missing_evacuation():
+    """An order counts as installed only once its own revision is."""
+
+    async def run():
+        versions = _rollout.InstalledVersions(lambda: 100.0)
+        versions.record('quick', 8, 2)
+        versions.record('slow', 9, 1)
+        assert versions.find_lagging(8) == ()
+        assert await versions.wait_until_installed(0, 0.01, 2) == ('slow',)
+        waiting = asyncio.create_task(versions.wait_until_installed(0, 30, 2))
+        await asyncio.sleep(0)
+        versions.record('slow', 9, 2)
+        return await asyncio.wait_for(waiting, 30)
+
+    assert asyncio.run(run()) == ()
--- a/daemon/tests/test_watch_server.py
+++ b/daemon/tests/test_watch_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+from cactusloft_consensus import evacuations as evacuation_sets
 from cactusloft_model import document
 from cactusloftd import _installed
 from cactusloftd import _messages
@@ -17,6 +18,7 @@
     version = _installed.Version(1, 'change')
     current = document.EMPTY_DOCUMENT
     confirmed_at = 0.0
+    evacuations = evacuation_sets.NO_EVACUATIONS
 
     def __init__(self, now):
         self._now = now
--- a/daemon/tests/watch/fleets.py
+++ b/daemon/tests/watch/fleets.py
@@ -12,6 +12,7 @@
 import structlog
 
 from cactusloft_bench import _virtual_loop
+from cactusloft_consensus import evacuations as evacuation_sets
 import cactusloft_link as link
 from cactusloft_model import clock
 from cactusloft_model import document
@@ -63,6 +64,8 @@
 class _Installed:
     """The document that a control host has installed."""
 
+    evacuations = evacuation_sets.NO_EVACUATIONS
+
     def __init__(self, changed_at):
         self.changed_at = changed_at
         self.changed = CHANGED
--- a/libs/consensus/src/cactusloft_consensus/_documents.py
+++ b/libs/consensus/src/cactusloft_consensus/_documents.py
@@ -13,6 +13,8 @@
 import attrs
 import msgspec
 
+from cactusloft_consensus import _evacuations
+
 # Outcomes kept to answer resends, besides those of the kept revisions. A
 # resend that arrives after more changes than either holds is refused because
 # of its old base version.
@@ -106,10 +108,14 @@
     texts: tuple[tuple[int, bytes], ...]
     revisions: tuple[Revision, ...]
     remembered: tuple[_DecidedChange, ...]
+    evacuations: _evacuations.Evacuations = _evacuations.NO_EVACUATIONS
 
 
 class DocumentStore:
-    """Document, history and outcomes of recent changes.
+    """Document, history and outcomes of recent changes, and evacuations.
+
+    :ivar version: version of the document in force.
+    :ivar evacuations: :class:`Evacuations` in force.
 
     >>> store = DocumentStore()
     >>> change = Change.pack(0, 'first', 0, 'text')
@@ -119,6 +125,7 @@
 
     def __init__(self):
         self.version = 0
+        self.evacuations = _evacuations.NO_EVACUATIONS
         self._texts = collections.OrderedDict()
         self._revisions = collections.deque(maxlen=MAX_KEPT_REVISIONS)
         self._decided = collections.OrderedDict()
@@ -146,11 +153,16 @@
         return tuple(self._revisions)
 
     def apply(self, data):
-        """Apply a change or refuse it.
+        """Apply a change or refuse it, or apply an order for an evacuation.
 
-        :param data: encoded :class:`Change`.
+        :param data: encoded :class:`Change` or :class:`EvacuationOrder`.
         :returns: :class:`Outcome`; a resend gets that of the first attempt.
+            That of an order has the revision of the evacuations as version.
         """
+        if _evacuations.is_order(data):
+            order = _evacuations.EvacuationOrder.decode(data)
+            self.evacuations = self.evacuations.apply(order)
+            return Outcome(OutcomeKind.ACCEPTED, self.evacuations.revision)
         change = Change.decode(data)
         digest = hashlib.sha256(change.text.encode()).hexdigest()
         earlier = self._find_decided(change.change_id)
@@ -203,6 +215,7 @@
             texts=tuple(self._texts.items()),
             revisions=tuple(self._revisions),
             remembered=tuple(self._decided.values()),
+            evacuations=self.evacuations,
         )
         return msgspec.msgpack.encode(state)
 
@@ -216,6 +229,7 @@
             return
         state = msgspec.msgpack.decode(data, type=_State)
         self.version = state.version
+        self.evacuations = state.evacuations
         self._texts = collections.OrderedDict(state.texts)
         self._revisions = collections.deque(
             state.revisions, maxlen=MAX_KEPT_REVISIONS
--- a/libs/consensus/src/cactusloft_consensus/_replica.py
+++ b/libs/consensus/src/cactusloft_consensus/_replica.py
@@ -12,6 +12,7 @@
 
 from cactusloft_consensus import _applier
 from cactusloft_consensus import _documents
+from cactusloft_consensus import _evacuations
 from cactusloft_consensus import _messages
 from cactusloft_consensus import _node
 from cactusloft_consensus import _waiters
@@ -141,7 +142,8 @@
         log = self._node.log
         entries = log.list_entries(log.snapshot.index + 1)
         for entry in reversed(entries):
-            if entry.kind == _messages.EntryKind.COMMAND:
+            is_command = entry.kind == _messages.EntryKind.COMMAND
+            if is_command and not _evacuations.is_order(entry.data):
                 return _documents.Change.decode(entry.data).text
         return self.store.text
 
@@ -212,7 +214,7 @@
     async def apply(self, change, timeout_s, on_decided):
         """Replicate a change and wait for its outcome.
 
-        :param change: :class:`Change`.
+        :param change: :class:`Change` or :class:`EvacuationOrder`.
         :param timeout_s: longest time to wait, in seconds.
         :param on_decided: function called with the outcome once the change is
             committed, before any other replica can learn that it is.
