Limit the calls to cold backend servers

Cause: a heartbeat's cold_left only started a ramp of slots for a new process. A backend server that became cold later got its usual load, and nothing bound the calls a second of one that was cold; the returning load of a data centre would crash it.

While the newest heartbeat says that the backend server is cold, its owner starts calls by a token bucket of that rate; the lower of this and of a limit that the server named applies, and the owner reports its load accordingly, so that entries choose others. At the end of an evacuation the server counts as cold until a heartbeat that was sent later tells otherwise; probing its health path would cost a slot. Without cold_rate nothing changes.

--- a/daemon/src/cactusloftd/_control_plane.py
+++ b/daemon/src/cactusloftd/_control_plane.py
@@ -119,12 +119,13 @@
         self.watcher.attach(name, table.make_report, table.apply)
         self.server.attach(name, table)
 
-    def connect_evacuations(self, data_centre, owner, members):
+    def connect_evacuations(self, data_centre, owner, members, on_change):
         """Make the owner and the choice of members follow the evacuations.
 
         :param data_centre: that of this host.
-        :param owner: has ``is_evacuated`` and ``on_change``.
+        :param owner: has ``is_evacuated``.
         :param members: :class:`_members.Members`.
+        :param on_change: function called when the evacuations have changed.
         """
         installed = self.installed
 
@@ -132,7 +133,7 @@
             return data_centre in installed.evacuations.data_centres
 
         owner.is_evacuated = is_evacuated
-        installed.on_evacuation = owner.on_change
+        installed.on_evacuation = on_change
         members.find_evacuated = lambda: installed.evacuations.data_centres
 
     def start(self):
--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -79,6 +79,14 @@
         """
         self._apply(self.admission.receive_response(rate_limit, started_at))
 
+    def set_cold(self, rate, duration_s):
+        """Limit the calls while the backend server is cold.
+
+        :param rate: calls per second that it tolerates, above 0.
+        :param duration_s: seconds for which it stays cold, 0 once it is warm.
+        """
+        self._apply(self.admission.set_cold(rate, duration_s))
+
     def _withdraw(self, ticket, is_late=False):
         if ticket.started_at is None:
             self._apply(self.admission.cancel(ticket, is_late))
--- a/daemon/src/cactusloftd/_wiring.py
+++ b/daemon/src/cactusloftd/_wiring.py
@@ -103,7 +103,10 @@
         self._report_due = asyncio.Event()
         self._owner.on_change = self._report_due.set
         self._plane.connect_evacuations(
-            settings.data_centre, self._owner, self._members
+            settings.data_centre,
+            self._owner,
+            self._members,
+            self._report_due.set,
         )
         self._attach_tables()
         self._entry = _entry.Entry(
--- a/daemon/src/cactusloftd/resident/_backend_server.py
+++ b/daemon/src/cactusloftd/resident/_backend_server.py
@@ -113,6 +113,13 @@
         self._install(heartbeat, now)
         return True
 
+    def is_newest(self, heartbeat):
+        """Tell whether a heartbeat is the newest of the current process."""
+        return (
+            _is_same_process(heartbeat, self.heartbeat)
+            and heartbeat.sequence == self.heartbeat.sequence
+        )
+
     def record_loss(self, now):
         """Record that the current process was seen not to be there.
 
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -21,6 +21,7 @@
 from cactusloftd import _calls
 from cactusloftd import _gate
 from cactusloftd.resident import _backend_server
+from cactusloftd.resident import _cold
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _runs
 from cactusloftd.resident import _service_times
@@ -102,6 +103,8 @@
         self._times = _service_times.ServiceTimes()
         self._running = {}
         self._is_stopping = False
+        self._cold = _cold.ColdPeriod(now)
+        self._was_evacuated = False
         self.is_evacuated = lambda: False
         self.on_change = lambda: None
         self.on_other_departure = lambda process: None
@@ -220,12 +223,46 @@
             self._install_process(heartbeat)
         elif self._gate is not None:
             self._gate.admission.set_slots(self._state.heartbeat.slots)
+        if is_new or self._state.is_newest(heartbeat):
+            self._cold.hear(heartbeat.cold_left_s)
+            self._limit_cold()
         is_serving = self._state.is_serving(self._now())
         if was_serving and not is_serving:
             self._log_draining(heartbeat.instance)
         if is_new or was_serving != is_serving:
             self.on_change()
 
+    def handle_evacuation(self):
+        """Apply the begin or the end of the evacuation of the data centre."""
+        is_evacuated = self.is_evacuated()
+        if is_evacuated == self._was_evacuated:
+            return
+        self._was_evacuated = is_evacuated
+        if not is_evacuated:
+            self._cold.presume()
+            self._limit_cold()
+        self.on_change()
+
+    def _limit_cold(self):
+        """Limit the calls for the time in which the server is cold."""
+        service = self._config.current.services.get(self.service)
+        if self._gate is None or service is None:
+            # Without a document the limit is not known yet.
+            return
+        self._cold.is_applied = True
+        if not service.cold_rate:
+            return
+        was_limited, cold_s = self.rate_limit is not None, self._cold.left_s
+        self._gate.set_cold(service.cold_rate, cold_s)
+        if cold_s and not was_limited:
+            self._log.record(
+                _V.BACKEND_SERVER_COLD,
+                service=self.service,
+                instance=self._state.heartbeat.instance,
+                rate=service.cold_rate,
+                cold_s=round(cold_s, 3),
+            )
+
     def leave(self, instance, born_ms):
         """Send no new calls to a process that announced its departure.
 
@@ -305,6 +342,8 @@
             return self._refuse_unserved(call, 'not serving')
         if self.service != call.context.service:
             return self._refuse_unserved(call, 'other service')
+        if not self._cold.is_applied:
+            self._limit_cold()
         checked = self._marks.check(call.context.fingerprint)
         return checked if isinstance(checked, result.Failure) else None
 
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -387,7 +387,10 @@
         self._owner.on_change = self._registration_changed.set
         self._owner.on_other_departure = members.record_departure
         plane.connect_evacuations(
-            self._settings.data_centre, self._owner, members
+            self._settings.data_centre,
+            self._owner,
+            members,
+            self._owner.handle_evacuation,
         )
         self._entry = _entry.Entry(
             self._settings,
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -5,6 +5,7 @@
 """
 
 from cactusloft_admission import _alone
+from cactusloft_admission import _cold
 from cactusloft_admission import _expected
 from cactusloft_admission import _limit
 from cactusloft_admission import _load
@@ -52,6 +53,7 @@
         self._service_times = _expected.ServiceTimes()
         self._meter = _meter.PressureMeter(now)
         self._rate = _rate.RateLimit(now)
+        self._cold = _cold.ColdLimit(now)
         self._in_flight = 0
         self._queue_empty_until = now
 
@@ -77,8 +79,14 @@
 
     @property
     def rate_limit(self):
-        """Return the calls per second that may start, None for no limit."""
-        return self._rate.rate
+        """Return the calls per second that may start, None for no limit.
+
+        It is the lower one of what the backend server named and of what it
+        tolerates while it is cold.
+        """
+        cold = self._cold.find_rate(self._read_clock())
+        rates = (self._rate.rate, cold)
+        return min((rate for rate in rates if rate is not None), default=None)
 
     @property
     def first_calls(self):
@@ -108,7 +116,11 @@
         """
         if not self.queued or self._in_flight >= self.compute_limit():
             return None
-        return self._rate.compute_delay(self._read_clock()) or None
+        now = self._read_clock()
+        delay_s = max(
+            self._rate.compute_delay(now), self._cold.compute_delay(now)
+        )
+        return delay_s or None
 
     def read_pressure(self):
         """Return the :class:`Pressure` to report with a response."""
@@ -125,6 +137,16 @@
         self._limit.set_slots(slots)
         self._reports.set_slots(slots)
 
+    def set_cold(self, rate, duration_s):
+        """Limit the calls for the time in which the backend server is cold.
+
+        :param rate: calls per second that it tolerates, above 0.
+        :param duration_s: seconds for which it stays cold, 0 once it is warm.
+        :returns: list of :class:`Decision` on queued calls.
+        """
+        self._cold.begin(rate, duration_s, self._read_clock())
+        return self.advance() if self.queued else []
+
     def receive_load(self, load, slots):
         """Check a load report of the backend server against the owner's count.
 
@@ -272,7 +294,10 @@
             return False
         if self._in_flight >= self.compute_limit():
             return False
-        return self._rate.has_token(self._read_clock())
+        return self._has_token(self._read_clock())
+
+    def _has_token(self, now):
+        return self._rate.has_token(now) and self._cold.has_token(now)
 
     def _is_newest_first(self):
         if not self._policy.newest_first:
@@ -284,7 +309,7 @@
     def _start_alone_calls(self):
         while len(self._alone) and not self._in_flight:
             now = self._read_clock()
-            if not self._rate.has_token(now):
+            if not self._has_token(now):
                 return
             ticket = self._alone.start_next()
             if now > ticket.deadline:
@@ -306,6 +331,7 @@
         ticket.started_at = now
         self._in_flight += 1
         self._rate.take(now)
+        self._cold.take(now)
         self._meter.record_start()
 
     def _shed(self, ticket, verdict):
--- a/libs/model/src/cactusloft_model/_document.py
+++ b/libs/model/src/cactusloft_model/_document.py
@@ -68,11 +68,14 @@
     :ivar retry_share: retries allowed as a share of recent successes.
     :ivar connections: maximum of connections to one backend server, 0 for
         the number that it announces.
+    :ivar cold_rate: calls per second that a backend server tolerates while it
+        is cold, 0 for no limit.
     """
 
     name: str
     retry_share: float
     connections: int = 0
+    cold_rate: float = 0.0
 
 
 class Document:
@@ -224,7 +227,8 @@
 def _read_service(name, reader):
     share = reader.read_number('retry_share', DEFAULT_RETRY_SHARE, high=1)
     connections = reader.read_integer('connections', 0)
-    return Service(name, share, connections)
+    cold_rate = reader.read_number('cold_rate', 0)
+    return Service(name, share, connections, cold_rate)
 
 
 def _read_split(reader):
