Refuse calls as not run on connections that were reset at once

Cause: a backend server resets connections beyond its limit. The connection also stayed in the list of open ones.

Change: such a connection counts as unreachable, and the call as not run.

--- a/daemon/src/cactusloftd/resident/_delivery.py
+++ b/daemon/src/cactusloftd/resident/_delivery.py
@@ -181,6 +181,10 @@
                 self._host,
                 self._port,
             )
+        if not connection.is_reusable:
+            # The server resets those beyond its limit. Nothing was sent.
+            connection.abort()
+            raise ConnectionResetError
         self._connections.add(connection)
         return connection
 
