Keep no traceback in a reader that refuses its input

Cause: since errors behind a whole request are raised later, the reader kept the exception, whose traceback refers to the parsed bytes and to the reader itself. Refused connections were freed only by the garbage collector.

Measured: unfinished bodies took a resident to 101 MB and a crowd that leaves to 128 MB, above the bound of 100 MB (3 of 31 tests of test_unbounded_clients.py failed); with a copy of the exception they peak at 67.5 and 69.9 MB, and the 7 tests of unfinished bodies and of the crowd that leaves pass.

--- a/daemon/src/cactusloftd/resident/_http_reader.py
+++ b/daemon/src/cactusloftd/resident/_http_reader.py
@@ -137,7 +137,7 @@
         """
         while not self._finished:
             if self._error is not None:
-                raise self._error
+                raise attrs.evolve(self._error)
             if not self._unread:
                 return None
             try:
@@ -147,7 +147,8 @@
                 if not has_progress and not self.hold_unread():
                     raise MalformedRequestError(503, NO_MEMORY)
             except MalformedRequestError as error:
-                self._error = error
+                # Its traceback would keep the parsed bytes.
+                self._error = attrs.evolve(error)
                 continue
             if not has_progress:
                 return None
