Order evacuations through the tool and the admin listener

Cause: only the platform's calls could begin and end an evacuation.

Change: the admin listener serves /v1/evacuations, the tool has evacuation begin, end and list. Both check the name of the data centre against those that the daemons name. The check and the time limit of an order move into a module that the resident shares.

--- a/cli/src/cactusloft/_client.py
+++ b/cli/src/cactusloft/_client.py
@@ -71,16 +71,24 @@
             'change_id': change_id,
             'text': text,
         }
-        for _ in range(MAX_APPLY_ATTEMPTS):
-            applied = await self._request(
-                'POST', '/v1/document', _views.Applied, body
-            )
-            if pipeline.is_successful(applied):
-                break
-            if applied.failure().kind is not _E.CONTROL_UNAVAILABLE:
-                break
-            await asyncio.sleep(APPLY_RETRY_DELAY_S)
-        return applied
+        return await self._change('/v1/document', body)
+
+    async def evacuate(self, data_centre, is_begun):
+        """Begin or end the evacuation of a data centre.
+
+        Retry while no control leader is reachable; an order that is in force
+        already has no further effect.
+
+        :returns: ``Success(Applied)`` or ``Failure(Problem)``.
+        """
+        body = {'data_centre': data_centre, 'is_begun': is_begun}
+        return await self._change('/v1/evacuations', body)
+
+    async def list_evacuations(self):
+        """Request the :class:`EvacuationsView` in force."""
+        return await self._request(
+            'GET', '/v1/evacuations', _views.EvacuationsView
+        )
 
     async def list_revisions(self):
         """Request the history, a tuple of :class:`RevisionView`."""
@@ -122,6 +130,17 @@
             'remove', {'replica_id': replica_id}
         )
 
+    async def _change(self, path, body):
+        """Send a change, again while no control leader is reachable."""
+        for _ in range(MAX_APPLY_ATTEMPTS):
+            applied = await self._request('POST', path, _views.Applied, body)
+            if pipeline.is_successful(applied):
+                break
+            if applied.failure().kind is not _E.CONTROL_UNAVAILABLE:
+                break
+            await asyncio.sleep(APPLY_RETRY_DELAY_S)
+        return applied
+
     async def _change_replicas(self, action, body=None):
         replicas = tuple[_views.ReplicaView, ...]
         path = f'/v1/replica/{action}'
--- a/cli/src/cactusloft/_views.py
+++ b/cli/src/cactusloft/_views.py
@@ -23,6 +23,17 @@
     version: int
 
 
+@attrs.frozen
+class EvacuationsView:
+    """Evacuated data centres.
+
+    :ivar revision: number of orders so far that changed them.
+    """
+
+    revision: int
+    data_centres: tuple[str, ...]
+
+
 @attrs.frozen
 class RevisionView:
     """Accepted version of the document.
--- a/cli/src/cactusloft/ui/__init__.py
+++ b/cli/src/cactusloft/ui/__init__.py
@@ -15,6 +15,7 @@
 from cactusloft import client
 from cactusloft.ui import _output
 from cactusloft.ui.commands import config
+from cactusloft.ui.commands import evacuation
 from cactusloft.ui.commands import key
 from cactusloft.ui.commands import log
 from cactusloft.ui.commands import members
@@ -23,7 +24,7 @@
 from cactusloft_model import errors
 
 DEFAULT_ADMIN_ENDPOINT = '127.0.0.1:9903'
-_COMMANDS = (config, key, log, members, replica, timeline)
+_COMMANDS = (config, evacuation, key, log, members, replica, timeline)
 
 
 def main(arguments=None):
--- a/daemon/src/cactusloftd/_admin.py
+++ b/daemon/src/cactusloftd/_admin.py
@@ -18,6 +18,8 @@
 from cactusloft_model import events
 from cactusloft_model import keys
 from cactusloftd import _calls
+from cactusloftd import _evacuation_messages
+from cactusloftd import _evacuation_orders
 from cactusloftd import _http
 from cactusloftd import _messages
 from cactusloftd import _metrics
@@ -39,6 +41,14 @@
     text: str
 
 
+@attrs.frozen
+class EvacuationBody:
+    """Body of ``POST /v1/evacuations``."""
+
+    data_centre: str
+    is_begun: bool
+
+
 @attrs.frozen
 class ReplicaBody:
     """Body of ``POST /v1/replica/remove``."""
@@ -118,6 +128,8 @@
             ('GET', '/v1/document'): self._show_document,
             ('POST', '/v1/document'): self._apply_document,
             ('GET', '/v1/history'): self._show_history,
+            ('GET', '/v1/evacuations'): self._show_evacuations,
+            ('POST', '/v1/evacuations'): self._evacuate,
             ('GET', '/v1/status'): self._show_status,
             ('GET', '/v1/members'): self._show_members,
             ('GET', '/v1/events'): self._show_events,
@@ -164,16 +176,32 @@
             )
         )
 
-    async def _execute(self, request):
-        reply = await self._operators.execute(request)
-        refusal = reply.refusal
-        if refusal is not None:
-            return _problems.make_problem(
-                errors.CallError(refusal.kind, refusal.detail, refusal.not_run)
-            )
-        return web.Response(
-            body=reply.content, content_type='application/json'
+    async def _show_evacuations(self, _request):
+        return await self._execute(
+            _evacuation_messages.EvacuationsRequest(False)
+        )
+
+    async def _evacuate(self, request):
+        body = await _read_json(request, EvacuationBody)
+        if not pipeline.is_successful(body):
+            return _problems.make_problem(body.failure())
+        order = body.unwrap()
+        reply = await _evacuation_orders.execute_order(
+            self._operators,
+            await self._list_data_centres(),
+            order.data_centre,
+            order.is_begun,
         )
+        return _make_reply(reply)
+
+    async def _list_data_centres(self):
+        """Return the data centres of the known daemons and evacuations."""
+        fleet = await self._members.list_fleet()
+        names = {member.data_centre for member in fleet}
+        return names.union(self._installed.evacuations.data_centres)
+
+    async def _execute(self, request):
+        return _make_reply(await self._operators.execute(request))
 
     async def _show_history(self, _request):
         return await self._execute(_messages.HistoryRequest(False))
@@ -269,6 +297,16 @@
         return _calls.fail(_E.BAD_REQUEST, str(error))
 
 
+def _make_reply(reply):
+    """Return the response for a :class:`_messages.ControlReply`."""
+    refusal = reply.refusal
+    if refusal is not None:
+        return _problems.make_problem(
+            errors.CallError(refusal.kind, refusal.detail, refusal.not_run)
+        )
+    return web.Response(body=reply.content, content_type='application/json')
+
+
 def _make_json_response(content):
     return web.Response(
         body=msgspec.json.encode(content), content_type='application/json'
--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -17,12 +17,10 @@
 from cactusloft_membership import exchange
 from cactusloft_membership import registry
 from cactusloft_model import clock
-from cactusloft_model import errors
 from cactusloft_model import events
 import cactusloft_quota as quota
-from cactusloftd import _control
 from cactusloftd import _control_plane
-from cactusloftd import _evacuation_messages
+from cactusloftd import _evacuation_orders
 from cactusloftd import _exchanges
 from cactusloftd import _group
 from cactusloftd import _jobs
@@ -51,9 +49,6 @@
 RESTART_DELAY_S = 3.0
 # A document confirmed longer ago than this is not returned as the newest.
 MAX_READ_AGE_S = 1.0
-# An order is not carried out later than this: one that is delayed could undo
-# its successor, since orders have no versions.
-EVACUATION_TIMEOUT_S = 2.0
 # Resource in the metrics.
 MEMBER_CALL = 'member_call'
 _V = events.Event
@@ -178,23 +173,12 @@
         :param data_centre: one of the settings.
         :returns: :class:`_messages.ControlReply`.
         """
-        known = self._settings.data_centres
-        if known and data_centre not in known:
-            return _control.refuse(
-                errors.CallError(
-                    errors.ErrorKind.BAD_REQUEST, 'unknown data centre'
-                )
-            )
-        request = _evacuation_messages.EvacuationRequest(
-            data_centre, is_begun, False
+        return await _evacuation_orders.execute_order(
+            self._plane.operators,
+            self._settings.data_centres,
+            data_centre,
+            is_begun,
         )
-        try:
-            async with asyncio.timeout(EVACUATION_TIMEOUT_S):
-                return await self._plane.operators.execute(
-                    request, EVACUATION_TIMEOUT_S
-                )
-        except TimeoutError:
-            return _control.refuse_unavailable('no control leader in time')
 
     def read_document(self):
         """Return the newest document text, or None if it may be outdated."""
--- a/daemon/tests/test_tool.py
+++ b/daemon/tests/test_tool.py
@@ -80,3 +80,17 @@
     roles = [r['is_voter'] for r in tool.run('status')[1]['replicas']]
     assert roles == [True, True, True]
     assert tool.run('replica', 'bootstrap')[0] == 6
+
+
+def test_evacuation_is_ordered_by_the_tool(make_fleet, wait):
+    """A wrong name must be refused, since the order would have no effect."""
+    fleet = make_fleet(('c1', 'c2'), plain=['d1'])
+    tool = _Tool(fleet.plain)
+    wait(lambda: len(tool.run('members')[1]) == 3)
+    name = tool.run('members')[1][0]['data_centre']
+    assert tool.run('evacuation', 'begin', name) == (0, {'version': 1})
+    assert tool.run('evacuation', 'begin', name) == (0, {'version': 1})
+    code, listed = tool.run('evacuation', 'list')
+    assert (code, listed) == (0, {'revision': 1, 'data_centres': [name]})
+    assert tool.run('evacuation', 'begin', 'elsewhere')[0] == 6
+    assert tool.run('evacuation', 'end', name) == (0, {'version': 2})
