--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -45,8 +45,10 @@
 REPORT_INTERVAL_S = 1.0
 SHUTDOWN_POLL_S = 0.02
 FAILURE_POLL_S = 0.5
-# Limits the rate of restarts while a disk keeps failing.
-RESTART_DELAY_S = 3.0
+# Shortest life of a process whose disk fails, which limits the rate of
+# restarts. One that has lived longer ends at once: its host lacks a control
+# replica until it has started again.
+MIN_LIFE_S = 3.0
 # A document confirmed longer ago than this is not returned as the newest.
 MAX_READ_AGE_S = 1.0
 # Resource in the metrics.
@@ -85,6 +87,7 @@
         self._settings = settings
         self._host_context = host_context
         self._now = clock.read_boot_time
+        self._created_at = self._now()
         self._incarnation = time.time_ns() // 10**6
         self._sequence = itertools.count(1)
         hybrid_clock = clock.HybridClock(lambda: time.time_ns() // 10**6)
@@ -251,7 +254,7 @@
             await asyncio.Event().wait()
         while not replica.failure:
             await asyncio.sleep(FAILURE_POLL_S)
-        await asyncio.sleep(RESTART_DELAY_S)
+        await self._sleep_until(self._created_at + MIN_LIFE_S)
 
     async def shut_down(self, stop_listening, is_responding):
         """Accept no new requests and wait for those in progress.
