--- a/daemon/src/cactusloftd/resident/_wiring.py
+++ b/daemon/src/cactusloftd/resident/_wiring.py
@@ -18,13 +18,11 @@
 from cactusloft_membership import exchange
 from cactusloft_membership import registry
 from cactusloft_model import clock
-from cactusloft_model import errors
 from cactusloft_model import events
 from cactusloft_placement import choice as placement
 import cactusloft_quota as quota
-from cactusloftd import _control
 from cactusloftd import _control_plane
-from cactusloftd import _evacuation_messages
+from cactusloftd import _evacuation_orders
 from cactusloftd import _exchanges
 from cactusloftd import _group
 from cactusloftd import _jobs
@@ -50,13 +48,12 @@
 REPORT_INTERVAL_S = 1.0
 SHUTDOWN_POLL_S = 0.02
 FAILURE_POLL_S = 0.5
-# Limits the rate of restarts while a disk keeps failing.
-RESTART_DELAY_S = 3.0
+# Shortest life of a process whose disk fails, which limits the rate of
+# restarts. One that has lived longer ends at once: its host lacks a control
+# replica until it has started again.
+MIN_LIFE_S = 3.0
 # A document confirmed longer ago than this is not returned as the newest.
 MAX_READ_AGE_S = 1.0
-# An order is not carried out later than this: one that is delayed could undo
-# its successor, since orders have no versions.
-EVACUATION_TIMEOUT_S = 2.0
 # Resource in the metrics.
 MEMBER_CALL = 'member_call'
 _V = events.Event
@@ -96,6 +93,7 @@
         self._settings = settings
         self._host_context = host_context
         self._now = clock.read_boot_time
+        self._created_at = self._now()
         self._incarnation = time.time_ns() // 10**6
         self._sequence = itertools.count(1)
         hybrid_clock = clock.HybridClock(lambda: time.time_ns() // 10**6)
@@ -192,23 +190,12 @@
         :param data_centre: one of the settings.
         :returns: :class:`_messages.ControlReply`.
         """
-        known = self._settings.data_centres
-        if known and data_centre not in known:
-            return _control.refuse(
-                errors.CallError(
-                    errors.ErrorKind.BAD_REQUEST, 'unknown data centre'
-                )
-            )
-        request = _evacuation_messages.EvacuationRequest(
-            data_centre, is_begun, False
+        return await _evacuation_orders.execute_order(
+            self._plane.operators,
+            self._settings.data_centres,
+            data_centre,
+            is_begun,
         )
-        try:
-            async with asyncio.timeout(EVACUATION_TIMEOUT_S):
-                return await self._plane.operators.execute(
-                    request, EVACUATION_TIMEOUT_S
-                )
-        except TimeoutError:
-            return _control.refuse_unavailable('no control leader in time')
 
     def read_document(self):
         """Return the newest document text, or None if it may be outdated."""
@@ -281,7 +268,7 @@
             await asyncio.Event().wait()
         while not replica.failure:
             await asyncio.sleep(FAILURE_POLL_S)
-        await asyncio.sleep(RESTART_DELAY_S)
+        await self._sleep_until(self._created_at + MIN_LIFE_S)
 
     async def shut_down(self, stop_listening, is_responding):
         """Accept no new requests and wait for those in progress.
