Import ZeroMQ only for links with keys, and trim steps of a call

Cause: a resident has plain links, yet each process imports ZeroMQ. A call still builds what only a failure needs: a time to come back, a coroutine for a wait that doesn't happen, a copy of each received frame.

Change: the encrypted sockets are a module of their own, imported when a node has keys. Successes are recognised first; the gate decides without a coroutine where it can; whole frames aren't copied; a host without calls from accounts has no timer for returning tokens. Nothing that is decided or sent differs.

--- a/daemon/src/cactusloftd/_gate.py
+++ b/daemon/src/cactusloftd/_gate.py
@@ -41,12 +41,28 @@
         :returns: :class:`controller.Verdict`; after ``STARTED`` the caller
             must call :meth:`leave`.
         """
+        verdict = self.submit(ticket)
+        return verdict or await self.wait(ticket)
+
+    def submit(self, ticket):
+        """Let a call start if it can do so at once.
+
+        :returns: :class:`controller.Verdict`, or None if it is queued and
+            :meth:`wait` must be called.
+        """
         decisions = self.admission.submit(ticket)
         self._apply(decisions)
         for decision in decisions:
             if decision.ticket is ticket:
                 # Most calls are decided at once and need no timer.
                 return decision.verdict
+        return None
+
+    async def wait(self, ticket):
+        """Wait until a queued call may start, or until its latest start time.
+
+        :returns: :class:`controller.Verdict`, as of :meth:`enter`.
+        """
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[ticket] = waiter
         self.on_wait()
--- a/daemon/src/cactusloftd/_peers.py
+++ b/daemon/src/cactusloftd/_peers.py
@@ -42,19 +42,21 @@
 
         :returns: ``Success(Response)`` or ``Failure(CallError)``.
         """
-        if not await self._peer.wait_until_up(CONNECT_TIMEOUT_S):
+        peer = self._peer
+        if not (peer.is_up or await peer.wait_until_up(CONNECT_TIMEOUT_S)):
             return _calls.fail(
                 _E.NO_BACKEND_SERVER, 'no connection to the owner'
             )
         body = call.body
         start = _make_start(call, self._now())
         try:
-            stream = self._peer.open_stream(start, body[:CHUNK_BYTES])
+            stream = peer.open_stream(start, body[:CHUNK_BYTES])
         except link.StreamLostError as error:
             return _calls.fail(_E.NO_BACKEND_SERVER, str(error))
         is_streaming = False
         try:
-            await _send_remaining_body(stream, body, _messages.BodyChunk)
+            if len(body) > CHUNK_BYTES:
+                await _send_remaining_body(stream, body, _messages.BodyChunk)
             frame = await stream.receive()
             outcome = _convert_reply(stream, frame)
             self._pressure = _read_pressure(frame.message)
@@ -125,7 +127,7 @@
             outcome = await self._owner.run(call)
         level = self._owner.read_pressure(call).level
         load = self._owner.load
-        if isinstance(outcome, result.Failure):
+        if not isinstance(outcome, result.Success):
             await stream.send(_make_refusal(outcome.failure(), level, load))
             stream.finish()
             return
@@ -149,9 +151,9 @@
 
 def _is_final(message):
     """Return whether ``message`` is the last one of the owner."""
-    if isinstance(message, _messages.Refusal):
-        return True
-    return isinstance(message, _messages.ResponseStart) and message.is_complete
+    if isinstance(message, _messages.ResponseStart):
+        return message.is_complete
+    return isinstance(message, _messages.Refusal)
 
 
 def _make_start(call, now):
@@ -287,13 +289,12 @@
             'owner sent an unexpected message',
         )
     if message.is_complete:
+        # The stream ends with this message.
         chunks = _calls.iterate_once(frame.payload)
+        close = _calls.close_nothing
     else:
         chunks = _receive_body(stream)
-
-    async def close():
-        stream.close()
-
+        close = _make_close(stream)
     return result.Success(
         _calls.Response(
             message.status,
@@ -307,6 +308,13 @@
     )
 
 
+def _make_close(stream):
+    async def close():
+        stream.close()
+
+    return close
+
+
 async def _receive_body(stream):
     is_last = False
     while not is_last:
--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -79,7 +79,7 @@
 
     def record_outcome(self, name, runner, outcome):
         """Count a send that reached a backend server."""
-        if isinstance(outcome, result.Failure):
+        if not isinstance(outcome, result.Success):
             error = outcome.failure()
             if error.detail == _owner.NO_FREE_SLOT:
                 self.full_owners.append((runner.load or 1.0, name, runner))
@@ -127,7 +127,7 @@
 
 def is_failed(outcome):
     """Tell whether an outcome is an error for the caller."""
-    if isinstance(outcome, result.Failure):
+    if not isinstance(outcome, result.Success):
         return True
     return outcome.unwrap().status >= 500
 
--- a/daemon/src/cactusloftd/resident/_debits.py
+++ b/daemon/src/cactusloftd/resident/_debits.py
@@ -116,8 +116,12 @@
     async def run(self):
         """Send debits when calls wait and return tokens, until cancelled."""
         while True:
+            # Without calls of its own, a host has nothing to return.
+            has_work = self._holders or not self._has_contact
             try:
-                async with asyncio.timeout(RETURN_INTERVAL_S):
+                async with asyncio.timeout(
+                    RETURN_INTERVAL_S if has_work else None
+                ):
                     await self._wake.wait()
             except TimeoutError:
                 # Unused tokens are returned now.
--- a/daemon/src/cactusloftd/resident/_entry.py
+++ b/daemon/src/cactusloftd/resident/_entry.py
@@ -111,7 +111,7 @@
         waited_s = asyncio.get_running_loop().time() - request.read_at
         arrived_at = self._now() - waited_s
         authorised = self._authorise(request)
-        if isinstance(authorised, result.Failure):
+        if not isinstance(authorised, result.Success):
             self._record_refusal(request, authorised.failure(), arrived_at)
             return authorised
         route, account_name = authorised.unwrap()
@@ -137,7 +137,7 @@
             self._now() - arrived_at,
             call.context.service,
         )
-        if isinstance(outcome, result.Failure):
+        if not isinstance(outcome, result.Success):
             self._record_refusal(request, outcome.failure(), arrived_at, call)
         else:
             response = outcome.unwrap()
@@ -159,7 +159,7 @@
                 return _calls.fail(_E.CONFIG_STALE)
             return _calls.fail(_E.NO_ROUTE)
         found = _access.find_account_name(self._config, route, request.key)
-        if isinstance(found, result.Failure):
+        if not isinstance(found, result.Success):
             return found
         return result.Success((route, found.unwrap()))
 
@@ -231,13 +231,13 @@
 
     async def _admit(self, call, route):
         checked = self._marks.check(call.context.fingerprint)
-        if isinstance(checked, result.Failure):
+        if not isinstance(checked, result.Success):
             return checked
         admitted = await self._debits.admit(call.context)
-        if isinstance(admitted, result.Failure):
+        if not isinstance(admitted, result.Success):
             return admitted
         outcome = await self._try_owners(call, 1 + route.retries)
-        is_failure = isinstance(outcome, result.Failure)
+        is_failure = not isinstance(outcome, result.Success)
         is_not_run = is_failure and _attempts.is_not_run(outcome.failure())
         if is_not_run and admitted.unwrap():
             self._debits.return_token(call.context)
@@ -259,12 +259,15 @@
             attempt.may_have_run |= attempt.is_in_flight
             if attempt.is_in_flight:
                 self._record_run(call, attempt.owner, outcome)
-        context = call.context
-        retry_after_s = _returning.compute_retry_after(
-            context.call_id,
-            context.deadline - self._now(),
-            self._placing.find_full_share(context.service),
-        )
+        if isinstance(outcome, result.Success):
+            retry_after_s = None
+        else:
+            context = call.context
+            retry_after_s = _returning.compute_retry_after(
+                context.call_id,
+                context.deadline - self._now(),
+                self._placing.find_full_share(context.service),
+            )
         final_outcome = attempt.settle(outcome, retry_after_s)
         if final_outcome is not attempt.failed_outcome:
             await attempt.close_failed_outcome()
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -279,7 +279,7 @@
         ticket = self._make_ticket(call, arrived_at)
         if self._would_start_late(ticket):
             return self._refuse(call, ticket, _G.EVICTED)
-        verdict = await gate.enter(ticket)
+        verdict = gate.submit(ticket) or await gate.wait(ticket)
         if verdict is not _G.STARTED:
             return self._refuse(call, ticket, verdict)
         self._metrics.record(
@@ -301,7 +301,7 @@
         if self.service != call.context.service:
             return self._refuse_unserved(call, 'other service')
         checked = self._marks.check(call.context.fingerprint)
-        return checked if isinstance(checked, result.Failure) else None
+        return None if isinstance(checked, result.Success) else checked
 
     def _refuse_unserved(self, call, reason):
         self._log.record(
--- a/libs/admission/src/cactusloft_admission/_alone.py
+++ b/libs/admission/src/cactusloft_admission/_alone.py
@@ -22,6 +22,11 @@
     def __len__(self):
         return len(self._waiting)
 
+    @property
+    def is_unused(self):
+        """Tell whether no suspect waits or runs."""
+        return self._running is None and not self._waiting
+
     @property
     def is_full(self):
         """Tell whether no further suspect may be queued."""
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -117,7 +117,7 @@
 
     def count_ahead(self, ticket):
         """Return how many queued calls would start before a new one."""
-        return self._queue.count_ahead(ticket)
+        return self._queue.count_ahead(ticket) if self._queue else 0
 
     def set_slots(self, slots):
         """Set the slots of a renewed announcement."""
@@ -258,6 +258,8 @@
         return ticket.queued_at + needed_s > ticket.deadline
 
     def _is_reserved_for_alone(self):
+        if self._alone.is_unused:
+            return False
         now = self._read_clock()
         return self._alone.is_server_reserved(bool(self._queue), now)
 
@@ -270,9 +272,10 @@
     def _has_capacity(self):
         if self._is_reserved_for_alone():
             return False
-        if self._in_flight >= self.compute_limit():
-            return False
-        return self._rate.has_token(self._read_clock())
+        # Most backend servers name no rate, for which every call has a token.
+        return self._in_flight < self.compute_limit() and (
+            self._rate.rate is None or self._rate.has_token(self._read_clock())
+        )
 
     def _is_newest_first(self):
         if not self._policy.newest_first:
--- a/libs/link/src/cactusloft_link/_codec.py
+++ b/libs/link/src/cactusloft_link/_codec.py
@@ -101,9 +101,16 @@
         """
         try:
             (encoded,) = parts
-            fields = _HEADER.unpack_from(encoded)
-            version, kind, number, exchange, sent_us = fields[:5]
-            wall_ms, counter, body_bytes = fields[5:]
+            (
+                version,
+                kind,
+                number,
+                exchange,
+                sent_us,
+                wall_ms,
+                counter,
+                body_bytes,
+            ) = _HEADER.unpack_from(encoded)
             if version != PROTOCOL_VERSION:
                 raise MalformedFrameError(
                     f'unsupported protocol version {version}'
@@ -113,8 +120,10 @@
                 raise MalformedFrameError(
                     'frame is shorter than its body length'
                 )
-            body = memoryview(encoded)[_HEADER.size : body_end]
-            message = self._decoders[number].decode(body) if number else None
+            message = None
+            if number:
+                body = memoryview(encoded)[_HEADER.size : body_end]
+                message = self._decoders[number].decode(body)
             return Frame(
                 _TYPE_BY_VALUE[kind],
                 exchange,
--- a/libs/link/src/cactusloft_link/_keys.py
+++ b/libs/link/src/cactusloft_link/_keys.py
@@ -4,7 +4,6 @@
 import pathlib
 
 import attrs
-import zmq
 
 Z85_KEY_CHARACTERS = 40
 
@@ -22,6 +21,9 @@
 
 def make_key_pair():
     """Return a new random :class:`KeyPair`."""
+    # Residents have plain links and no memory for what it imports.
+    import zmq
+
     public, secret = zmq.curve_keypair()
     return KeyPair(public, secret)
 
--- a/libs/link/src/cactusloft_link/_listener.py
+++ b/libs/link/src/cactusloft_link/_listener.py
@@ -6,7 +6,6 @@
 from cactusloft_link import _codec
 from cactusloft_link import _errors
 from cactusloft_link import _plain
-from cactusloft_link import _socket
 from cactusloft_link import _streams
 
 # A peer with open streams sends pings. One that sends nothing for this time
@@ -62,10 +61,14 @@
         self.request_handlers = {}
         self.stream_handlers = {}
 
-    def start(self, socket):
-        """Handle the frames received on a bound ROUTER socket."""
-        self._socket = _socket.LoopSocket(socket, self._handle_parts)
+    def start_encrypted(self, curve, endpoint):
+        """Accept peers with an allowed key at ``endpoint``; return the port.
+
+        :param curve: :class:`CurveSockets`.
+        """
+        self._socket, port = curve.listen(endpoint, self._handle_parts)
         self._node.start_job(self._sweep)
+        return port
 
     def start_plain(self, endpoint):
         """Accept unencrypted connections at ``endpoint``; return the port."""
--- a/libs/link/src/cactusloft_link/_node.py
+++ b/libs/link/src/cactusloft_link/_node.py
@@ -13,17 +13,13 @@
 
 import attrs
 from returns import result
-import zmq
-import zmq.auth.asyncio
 
 from cactusloft_link import _background
 from cactusloft_link import _codec
 from cactusloft_link import _errors
 from cactusloft_link import _immediate
 from cactusloft_link import _listener
-from cactusloft_link import _monitor
 from cactusloft_link import _plain
-from cactusloft_link import _socket
 from cactusloft_link import _streams
 
 PING_INTERVAL_S = 0.2
@@ -37,9 +33,6 @@
 # dozens of idle peers, frequent pings would cost more than control traffic.
 IDLE_PING_INTERVAL_S = 10.0
 PEER_TIMEOUT_S = 1.5
-MAX_QUEUED_MESSAGES = 10_000
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-ZAP_DOMAIN = b'cactusloft'
 
 _Type = _codec.FrameType
 
@@ -70,13 +63,16 @@
 
     def __init__(self, codec, key_pair, allowed_keys, hybrid_clock):
         self._codec = codec
-        self._key_pair = key_pair
         self._allowed_keys = allowed_keys
         self._clock = hybrid_clock
-        self._context = None if key_pair is None else zmq.Context()
+        self._curve = None
+        if key_pair is not None:
+            # Residents have plain links and no memory for what it imports.
+            from cactusloft_link import _curve
+
+            self._curve = _curve.CurveSockets(key_pair, self._is_allowed)
         self._links = {}
         self._listener = _listener.Listener(self)
-        self._authenticator = None
         self._tasks = set()
         self._keep_alive_task = None
         self.on_event = lambda name, **fields: None
@@ -103,30 +99,12 @@
 
         :returns: the port; the system chooses it if ``endpoint`` has port 0.
         """
-        if self._key_pair is None:
+        if self._curve is None:
             return self._listener.start_plain(endpoint)
-        socket = self._make_socket(zmq.ROUTER)
-        self._authenticate(socket)
-        # Without this option, ZeroMQ discards frames to a disconnected peer
-        # without an error.
-        socket.router_mandatory = True
-        socket.bind(f'tcp://{endpoint}')
-        port = int(socket.last_endpoint.rsplit(b':', 1)[1])
-        self._listener.start(socket)
-        return port
-
-    def _authenticate(self, socket):
-        """Restrict a listening socket to peers with an allowed key."""
-        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
-            self._context
-        )
-        self._authenticator.start()
-        self._authenticator.configure_curve_callback(ZAP_DOMAIN.decode(), self)
-        socket.curve_server = True
-        socket.zap_domain = ZAP_DOMAIN
+        return self._listener.start_encrypted(self._curve, endpoint)
 
-    def callback(self, _domain, key):
-        """Tell whether a peer may connect; called by the ZAP authenticator."""
+    def _is_allowed(self, key):
+        """Tell whether a peer may connect."""
         is_allowed = self._allowed_keys.allows(key)
         if not is_allowed:
             self.on_event('peer_refused', public_key=key.decode('ascii'))
@@ -158,10 +136,8 @@
         self._listener.close()
         for task in list(self._tasks):
             task.cancel()
-        if self._authenticator is not None:
-            self._authenticator.stop()
-        if self._context is not None:
-            self._context.destroy(linger=0)
+        if self._curve is not None:
+            self._curve.close()
 
     def encode(self, frame_type, exchange, message=None, payload=b''):
         """Return the parts of a new frame with the present time."""
@@ -210,21 +186,14 @@
 
     def make_dealer(self, address, on_parts, on_connected, on_disconnected):
         """Return a connecting socket, and its monitor or None."""
-        if self._key_pair is None:
+        if self._curve is None:
             dealer = _plain.PlainDealer(
                 address.endpoint, on_parts, on_connected, on_disconnected
             )
             return dealer, None
-        socket = self._make_socket(zmq.DEALER)
-        socket.curve_serverkey = address.public_key.encode('ascii')
-        # Rejects messages while there is no connection: a queued call could
-        # be delivered after its sender has given up on it.
-        socket.immediate = 1
-        socket.reconnect_ivl = 50
-        socket.reconnect_ivl_max = 1000
-        monitor = _monitor.Monitor(socket, on_connected, on_disconnected)
-        socket.connect(f'tcp://{address.endpoint}')
-        return _socket.LoopSocket(socket, on_parts), monitor
+        return self._curve.connect(
+            address, on_parts, on_connected, on_disconnected
+        )
 
     async def _keep_links_alive(self):
         # One task serves all links: dozens of timers would cost more than the
@@ -234,16 +203,6 @@
                 link.keep_alive()
             await asyncio.sleep(PING_INTERVAL_S)
 
-    def _make_socket(self, socket_type):
-        socket = self._context.socket(socket_type)
-        socket.linger = 0
-        socket.sndhwm = MAX_QUEUED_MESSAGES
-        socket.rcvhwm = MAX_QUEUED_MESSAGES
-        socket.maxmsgsize = MAX_MESSAGE_BYTES
-        socket.curve_publickey = self._key_pair.public
-        socket.curve_secretkey = self._key_pair.secret
-        return socket
-
 
 class Link:
     """The outgoing connection to one peer.
--- a/libs/link/src/cactusloft_link/_plain.py
+++ b/libs/link/src/cactusloft_link/_plain.py
@@ -50,21 +50,27 @@
 
     def data_received(self, data):
         """Pass on all complete frames; called by the event loop."""
-        buffer = self._buffer
-        buffer += data
-        start, size = 0, len(buffer)
+        # Most data are whole frames, which need no copy in a buffer.
+        received = data
+        if self._buffer:
+            self._buffer += data
+            received = self._buffer
+        start, size = 0, len(received)
         while size - start >= _LENGTH.size and not self.is_closed:
-            (length,) = _LENGTH.unpack_from(buffer, start)
+            (length,) = _LENGTH.unpack_from(received, start)
             if length > MAX_FRAME_BYTES:
                 self.close()
                 return
             end = start + _LENGTH.size + length
             if end > size:
                 break
-            frame = bytes(buffer[start + _LENGTH.size : end])
+            frame = bytes(received[start + _LENGTH.size : end])
             start = end
             self._on_frame(frame)
-        del buffer[:start]
+        if received is self._buffer:
+            del self._buffer[:start]
+        elif start < size:
+            self._buffer += received[start:]
 
     def send(self, frame):
         """Buffer a frame for sending; return False if it was rejected."""
