--- a/daemon/src/cactusloftd/resident/_attempts.py
+++ b/daemon/src/cactusloftd/resident/_attempts.py
@@ -95,7 +95,7 @@
 
     def record_outcome(self, name, runner, outcome):
         """Count a send that reached a backend server."""
-        if isinstance(outcome, result.Failure):
+        if not isinstance(outcome, result.Success):
             error = outcome.failure()
             if error.detail in (_owner.NO_FREE_SLOT, _owner.SLOW_NOW):
                 rank = runner.estimate_end(self.call) or runner.load or 1.0
@@ -155,7 +155,7 @@
 
 def is_failed(outcome):
     """Tell whether an outcome is an error for the caller."""
-    if isinstance(outcome, result.Failure):
+    if not isinstance(outcome, result.Success):
         return True
     return outcome.unwrap().status >= 500
 
--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -373,7 +373,7 @@
         backlog = self._backlog
         cost_s = backlog.enqueue(call.route)
         try:
-            verdict = await gate.enter(ticket)
+            verdict = gate.submit(ticket) or await gate.wait(ticket)
         finally:
             backlog.dequeue(cost_s)
         if verdict is not _G.STARTED:
@@ -402,7 +402,7 @@
         if not self._cold.is_applied:
             self._limit_cold()
         checked = self._marks.check(call.context.fingerprint)
-        return checked if isinstance(checked, result.Failure) else None
+        return None if isinstance(checked, result.Success) else checked
 
     def _refuse_unserved(self, call, reason):
         self._log.record(
--- a/libs/admission/src/cactusloft_admission/_controller.py
+++ b/libs/admission/src/cactusloft_admission/_controller.py
@@ -129,7 +129,7 @@
 
     def count_ahead(self, ticket):
         """Return how many queued calls would start before a new one."""
-        return self._queue.count_ahead(ticket)
+        return self._queue.count_ahead(ticket) if self._queue else 0
 
     def estimate_work_ahead(self, ticket):
         """Return the work of queued calls that would start before a new one.
@@ -287,6 +287,8 @@
         return ticket.queued_at + needed_s > ticket.deadline
 
     def _is_reserved_for_alone(self):
+        if self._alone.is_unused:
+            return False
         now = self._read_clock()
         return self._alone.is_server_reserved(bool(self._queue), now)
 
