--- a/libs/consensus/tests/conftest.py
+++ b/libs/consensus/tests/conftest.py
@@ -197,6 +197,12 @@
         others = [other for other in self.hosts if other != address]
         self.blocked_links |= {frozenset((address, other)) for other in others}
 
+    def cut_one_way(self, address, is_outgoing):
+        """Drop all messages from or to a host, in one direction only."""
+        for other in self.hosts:
+            pair = (address, other) if is_outgoing else (other, address)
+            self.blocked_links.add(pair)
+
     def find_leader(self):
         leaders = [
             host
@@ -361,6 +367,8 @@
             link = frozenset((host.address, address))
             if address is None or link in self.blocked_links:
                 continue
+            if (host.address, address) in self.blocked_links:
+                continue
             if self.random.random() >= self.loss_probability:
                 due = self.now + self.random.uniform(0.0, self.max_delay_s)
                 coded = messages.encode_message(envelope)
