--- a/daemon/src/cactusloftd/resident/_owner.py
+++ b/daemon/src/cactusloftd/resident/_owner.py
@@ -188,6 +188,10 @@
         """
         return self._gate.admission.rate_limit if self._gate else None
 
+    def share_room(self):
+        """Share the room by work, whatever the backend server reports."""
+        self._sharing.is_on = True
+
     def find_service_time(self, route):
         """Return the mean service time of a route in seconds, or None."""
         return self._times.find(route)
--- a/daemon/tests/resident/test_owner.py
+++ b/daemon/tests/resident/test_owner.py
@@ -294,7 +294,7 @@
 
 def make_sharing_owner(bench):
     """Let the backend server report its slowness; it has one slot."""
-    bench.owner._sharing.is_on = True
+    bench.owner.share_room()
     for sequence in (2, 3):
         bench.owner.handle_heartbeat(
             attrs.evolve(bench.heartbeat, sequence=sequence, slots=1)
