--- a/daemon/tests/resident/entry_stubs.py
+++ b/daemon/tests/resident/entry_stubs.py
@@ -13,6 +13,7 @@
 from cactusloft_model import keys
 from cactusloftd import _calls
 from cactusloftd import _metrics
+from cactusloftd.resident import _debits
 from cactusloftd.resident import _delivery
 from cactusloftd.resident import _entry
 from cactusloftd.resident import _owner
@@ -197,6 +198,22 @@
     return entry
 
 
+def make_debits(now):
+    """Return the debits of an entry that knows no leader yet.
+
+    :param now: function that returns the time in seconds.
+    """
+    return _debits.Debits(
+        'here',
+        types.SimpleNamespace(read=None),
+        Config(),
+        None,
+        types.SimpleNamespace(handle_debit=None),
+        now,
+        _metrics.Metrics(),
+    )
+
+
 def make_request(
     path='/read/1', key='good', deadline_ms=5000, root_id='a1', parent_id=''
 ):
--- a/daemon/tests/resident/test_debits.py
+++ b/daemon/tests/resident/test_debits.py
@@ -6,7 +6,6 @@
 from cactusloft_model import document
 from cactusloft_model import errors
 import cactusloft_quota as quota
-from cactusloftd import _metrics
 from cactusloftd.resident import _debits
 
 from . import entry_stubs as stubs
@@ -86,15 +85,7 @@
     async def run():
         entry = stubs.make_entry(*stubs.make_members(stubs.NOT_SERVING))
         now = asyncio.get_running_loop().time
-        debits = _debits.Debits(
-            'here',
-            types.SimpleNamespace(read=None),
-            stubs.Config(),
-            None,
-            types.SimpleNamespace(handle_debit=None),
-            now,
-            _metrics.Metrics(),
-        )
+        debits = stubs.make_debits(now)
         # A grant leaves spare tokens, which calls use without a leader.
         holder = debits._find_holder('estates')
         grant = quota.AccountGrant('estates', 0, 1.0, 0.0, HIGH)
--- a/daemon/tests/resident/test_starting.py
+++ b/daemon/tests/resident/test_starting.py
@@ -5,9 +5,7 @@
 
 from cactusloft_model import errors
 import cactusloft_quota as quota
-from cactusloftd import _metrics
 from cactusloftd import _rate_messages
-from cactusloftd.resident import _debits
 from cactusloftd.resident import _starting
 
 from . import entry_stubs as stubs
@@ -100,15 +98,7 @@
 
     async def run():
         now = asyncio.get_running_loop().time
-        debits = _debits.Debits(
-            'here',
-            types.SimpleNamespace(read=None),
-            stubs.Config(),
-            None,
-            types.SimpleNamespace(handle_debit=None),
-            now,
-            _metrics.Metrics(),
-        )
+        debits = stubs.make_debits(now)
         debits._leader = Leader()
         task = asyncio.create_task(debits.run())
         call = types.SimpleNamespace(
