Review: show orders that lose their body to an upgrade offer

A POST with the headers Connection and Upgrade reaches the worker with an empty body and is answered 200: 20 of 20 orders, none without the headers.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -106,6 +106,7 @@
     """A backend server of the platform.
 
     :ivar runs: tuples of time, request id and path that it began to run.
+    :ivar bodies: by request id, the body of each request that it ran.
     """
 
     def __init__(self, record, ip, service, slots, instance):
@@ -113,7 +114,7 @@
         self.slots, self.instance = slots, instance
         self.born = time.time_ns() // 10**6
         self.state = 'ready'
-        self.runs, self.running = [], 0
+        self.runs, self.running, self.bodies = [], 0, {}
         self.is_down = False
         self.answer = lambda request: (200, 0.02)
         self.make_body = lambda path: b'body of ' + path.encode()
@@ -227,7 +228,7 @@
 
     def _serve(self):
         worker = self.server.worker
-        self.rfile.read(int(self.headers.get('Content-Length', 0)))
+        body = self._read_body()
         request_id = self.headers.get(ID, '')
         if self.path == '/health':
             self._reply(200, request_id, b'', False)
@@ -239,6 +240,7 @@
         if not request_id or not worker.begin(request_id, self.path):
             self._reply(503 if request_id else 400, request_id, b'', True)
             return
+        worker.bodies[request_id] = body
         try:
             status, work_s = worker.answer(self)
             left_s = int(self.headers.get(DEADLINE, 5000)) / 1000
@@ -252,6 +254,17 @@
 
     do_GET = do_POST = _serve
 
+    def _read_body(self):
+        if self.headers.get('Transfer-Encoding', '').lower() != 'chunked':
+            return self.rfile.read(int(self.headers.get('Content-Length', 0)))
+        body = b''
+        while size := int(self.rfile.readline().partition(b';')[0], 16):
+            body += self.rfile.read(size)
+            self.rfile.readline()
+        while self.rfile.readline().strip():
+            pass
+        return body
+
     def _reply(self, status, request_id, body, is_rejected):
         worker = self.server.worker
         lines = [
@@ -386,20 +399,35 @@
         """Return the id of a new request."""
         return f'{next(self._ids):016x}'
 
-    def call(self, index, path, method='GET', deadline_ms=5000, key=KEY):
-        """Send a request from a client of a host; return status and id."""
+    def call(
+        self,
+        index,
+        path,
+        method='GET',
+        deadline_ms=5000,
+        key=KEY,
+        body=None,
+        extra=(),
+    ):
+        """Send a request from a client of a host; return status and id.
+
+        :param extra: pairs of further headers.
+        """
         request_id = self.make_id()
         headers = {
             'Host': HOST,
             ID: request_id,
             DEADLINE: str(deadline_ms),
             'Authorization': f'Bearer {key}',
+            **dict(extra),
         }
         self.record.write(f'send {index} {request_id} {method} {path}')
-        status, _, body = send(
-            self.sides[index].ip, CALLERS_PORT, method, path, None, headers
+        status, _, content = send(
+            self.sides[index].ip, CALLERS_PORT, method, path, body, headers
+        )
+        self.record.write(
+            f'answer {index} {request_id} {status} {content[:60]}'
         )
-        self.record.write(f'answer {index} {request_id} {status} {body[:60]}')
         return status, request_id
 
     def _make_core(self, number):
