--- a/review/harness2.py
+++ b/review/harness2.py
@@ -252,7 +252,7 @@
                 worker.end()
         self._reply(status, request_id, worker.make_body(self.path), False)
 
-    do_GET = do_POST = _serve
+    do_GET = do_HEAD = do_POST = _serve
 
     def _read_body(self):
         if self.headers.get('Transfer-Encoding', '').lower() != 'chunked':
@@ -280,6 +280,8 @@
         elif status == 200:
             lines.append(f'{SIGNATURE}: signed-{request_id}')
         head = '\r\n'.join(lines) + '\r\n\r\n'
+        if self.command == 'HEAD':
+            body = b''
         self.wfile.write(head.encode() + body)
 
     def log_message(self, *args):
