--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import os
 import pathlib
 import sys
 import threading
@@ -13,10 +14,11 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import harness2 as harness  # noqa: E402
 
-HOSTS = 4
+# One of them is less than the share of .15 that may be down.
+HOSTS = 7
 SLOTS = 55
 WORK_S = 0.16
-CLIENTS = 48
+CLIENTS = 84
 DOWN_S = 5.0
 CALM_S = 8.0
 CHECK_S = 20.0
@@ -92,4 +94,8 @@
 
 
 if __name__ == '__main__':
-    harness.run_case(pathlib.Path(__file__).parent, play)
+    harness.run_case(
+        pathlib.Path(__file__).with_name('record.txt'),
+        os.environ.get('TROUBLE') != '0',
+        play,
+    )
